--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,11 @@
+"""Starts a gateway on the platform, from the repository's own source."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'src'))
+
+from teaselrock.daemon import platform_gateway  # noqa: E402
+
+if __name__ == '__main__':
+    sys.exit(platform_gateway.main())
--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -9,17 +9,18 @@
 from collections.abc import Callable
 from typing import Final
 from typing import NamedTuple
+from typing import Protocol
 
 from expression import Error
 from expression import Ok
 from expression import Result
 
 from teaselrock.coordination.connections import ConnectionPool
-from teaselrock.coordination.policy import Permission
 from teaselrock.coordination.ports import AttemptBudget
 from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import Claim
 from teaselrock.coordination.ports import HedgePolicy
+from teaselrock.coordination.ports import Permission
 from teaselrock.coordination.ports import ReportRow
 from teaselrock.coordination.ports import Slot
 from teaselrock.coordination.ports import SlotSource
@@ -65,6 +66,22 @@
         self._verdict = max(self._verdict, verdict, key=order.index)
 
 
+class Attempts(Protocol):
+    """Runs the attempts of admitted requests."""
+
+    async def run(
+        self,
+        *,
+        request: Request,
+        permission: Permission,
+        claim: Claim | None,
+        row: ReportRow,
+        progress: Progress,
+    ) -> Result[Answer, Refusal]:
+        """Try until an answer, a final failure or the deadline."""
+        ...
+
+
 class _Run(NamedTuple):
     """One request on its way through its attempts."""
 
@@ -111,9 +128,12 @@
         tried: set[str] = set()
         answer: Answer | None = None
         failure: ExchangeFailure | None = None
-        for number in range(1, MAX_ATTEMPTS + 1):
+        limit = _attempt_limit(request)
+        for number in range(1, limit + 1):
             reason = AttemptReason.RETRY if number > 1 else None
-            if number > 1 and not self._may_repeat(run):
+            if number > 1 and (
+                len(tried) >= limit or not self._may_repeat(run)
+            ):
                 break
             acquired = await self._acquire(run, frozenset(tried), reason)
             if acquired.is_error():
@@ -122,7 +142,8 @@
                 break
             if number == 1:
                 self._budget.on_first_attempt()
-            for attempt in await self._hedged(run, acquired.ok):
+            may_hedge = len(tried) + 1 < limit
+            for attempt in await self._hedged(run, acquired.ok, may_hedge):
                 tried.add(attempt.slot.server.server_id)
                 if attempt.result.is_ok():
                     answer = attempt.result.ok
@@ -163,13 +184,16 @@
             and self._budget.try_spend()
         )
 
-    async def _hedged(self, run: _Run, slot: Slot) -> list[_Attempt]:
+    async def _hedged(
+        self, run: _Run, slot: Slot, may_hedge: bool
+    ) -> list[_Attempt]:
         """Run an attempt, and a hedge if it is slow; the first answer wins.
 
         The loser is cancelled, which closes its connection.
         """
         delay = None
-        if run.request.is_idempotent and run.request.attempt == 1:
+        repeats = run.request.is_idempotent and run.request.attempt == 1
+        if repeats and may_hedge:
             delay = self._hedges.delay(service=run.request.service)
         if delay is None:
             return [await self._attempt(run, slot)]
@@ -261,11 +285,16 @@
         The process may have been paused since the slot or the claim was
         taken, so both are checked right before the send.
         """
-        opened = await self._connections.checkout(
-            server=slot.server,
-            start_id=slot.start_id,
-            deadline=run.request.deadline,
-        )
+        if slot.connection is not None:
+            opened: Result[BackendConnection, ExchangeFailure] = Ok(
+                slot.connection
+            )
+        else:
+            opened = await self._connections.checkout(
+                server=slot.server,
+                start_id=slot.start_id,
+                deadline=run.request.deadline,
+            )
         if opened.is_error():
             return opened
         fenced = run.claim is not None and not run.claim.may_send
@@ -290,6 +319,13 @@
         return result
 
 
+def _attempt_limit(request: Request) -> int:
+    """Servers that the request may be sent to."""
+    if request.route is not None:
+        return request.route.max_attempts
+    return MAX_ATTEMPTS
+
+
 def _is_retried(request: Request, answer: Answer) -> bool:
     return request.is_idempotent and answer.status in RETRIED_STATUSES
 
--- a/src/teaselrock/coordination/baselines.py
+++ b/src/teaselrock/coordination/baselines.py
@@ -13,6 +13,7 @@
 from expression import Ok
 from expression import Result
 
+from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import Directory
 from teaselrock.coordination.ports import Slot
 from teaselrock.state import AttemptOutcome
@@ -110,6 +111,11 @@
         """Local slots do not expire."""
         return True
 
+    @property
+    def connection(self) -> BackendConnection | None:
+        """None: the pool chooses the connection."""
+        return None
+
     def release(self, *, outcome: AttemptOutcome | None) -> None:
         """Give the slot back."""
         self._in_flight[self._server.server_id] -= 1
--- /dev/null
+++ b/src/teaselrock/coordination/choice/__init__.py
@@ -0,0 +1,15 @@
+"""Choice of a backend server by load checks right before the send."""
+
+from teaselrock.coordination.choice.checked import CheckedSlots
+from teaselrock.coordination.choice.checks import LoadChecks
+from teaselrock.coordination.choice.cold import ColdLimits
+from teaselrock.coordination.choice.estimates import WorkEstimates
+from teaselrock.coordination.choice.standing import Standings
+
+__all__ = (
+    'CheckedSlots',
+    'ColdLimits',
+    'LoadChecks',
+    'Standings',
+    'WorkEstimates',
+)
--- /dev/null
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -0,0 +1,309 @@
+"""Slots chosen by load checks right before the send.
+
+`CheckedSlots` implements the `SlotSource` port: it checks a few servers near
+this instance, and others only if none of them can answer in time. A request
+that no server can answer before its deadline is refused at once.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections import deque
+from collections.abc import Sequence
+import random
+from typing import Final
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from teaselrock.coordination.choice import refusals
+from teaselrock.coordination.choice.checks import Check
+from teaselrock.coordination.choice.checks import LoadChecks
+from teaselrock.coordination.choice.cold import ColdLimits
+from teaselrock.coordination.choice.estimates import UNHEALTHY_FACTOR
+from teaselrock.coordination.choice.estimates import WorkEstimates
+from teaselrock.coordination.choice.standing import Standings
+from teaselrock.coordination.ports import BackendConnection
+from teaselrock.coordination.ports import Slot
+from teaselrock.coordination.registry import InstallationView
+from teaselrock.state import AttemptOutcome
+from teaselrock.state import AttemptReason
+from teaselrock.state import AvailabilityZone
+from teaselrock.state import BackendServer
+from teaselrock.state import Refusal
+from teaselrock.state import Request
+from teaselrock.state.routes import Route
+
+# Servers that are checked for one request.
+NEAR_CHECKS: Final = 5
+FAR_CHECKS: Final = 3
+# Servers of the own zone among those checks, if there are as many.
+OWN_ZONE_CHECKS: Final = 3
+# Bytes between zones are billed: another zone has to be this much faster.
+OTHER_ZONE_FACTOR: Final = 1.1
+# Bytes between regions cost a large part of an answer's worth.
+OTHER_REGION_FACTOR: Final = 1.5
+# Other regions are asked if the near estimate is above this part of the
+# target latency.
+FAR_THRESHOLD: Final = 0.8
+# Sends are remembered until load checks show them.
+SENDS_KEPT: Final = 32
+
+
+class _Candidate(NamedTuple):
+    check: Check
+    expected: float
+    score: float
+
+
+class CheckedSlot:
+    """A server that has just been checked, with the checked connection."""
+
+    def __init__(
+        self,
+        *,
+        source: 'CheckedSlots',
+        route: Route,
+        check: Check,
+        expected: float,
+        reason: AttemptReason,
+    ) -> None:
+        self._source = source
+        self._route = route
+        self._check = check
+        self._expected = expected
+        self._reason = reason
+
+    @property
+    def server(self) -> BackendServer:
+        """The server that the slot is for."""
+        return self._check.server
+
+    @property
+    def start_id(self) -> str:
+        """Start of the server that the check has seen."""
+        return self._check.load.start_id
+
+    @property
+    def reason(self) -> AttemptReason:
+        """Why this server was chosen."""
+        return self._reason
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the server may still get new work."""
+        return self._source.may_serve(self._check.server)
+
+    @property
+    def connection(self) -> BackendConnection | None:
+        """The checked connection."""
+        return self._check.connection
+
+    def release(self, *, outcome: AttemptOutcome | None) -> None:
+        """Report the outcome; `None` returns the unused connection."""
+        self._source.on_release(
+            route=self._route,
+            check=self._check,
+            expected=self._expected,
+            outcome=outcome,
+        )
+
+
+class CheckedSlots:
+    """`SlotSource` by load checks."""
+
+    def __init__(
+        self,
+        *,
+        own: AvailabilityZone,
+        view: InstallationView,
+        checks: LoadChecks,
+        cold: ColdLimits,
+        standings: Standings,
+        estimates: WorkEstimates,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._view = view
+        self._checks = checks
+        self._cold = cold
+        self._standings = standings
+        self._estimates = estimates
+        self._rng = rng
+        self._sends: defaultdict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=SENDS_KEPT)
+        )
+
+    async def acquire(
+        self,
+        *,
+        request: Request,
+        regions: frozenset[str],
+        weight: int,
+        exclude: frozenset[str],
+        reason: AttemptReason | None,
+    ) -> Result[Slot, Refusal]:
+        """Choose a server now; nothing waits for a slot here."""
+        route = request.route
+        if route is None:
+            raise ValueError('load checks serve routed requests only')
+        servers = [
+            server
+            for server in self._view.backend_servers(service=request.service)
+            if server.zone.region in regions
+            and server.server_id not in exclude
+            and self._standings.is_reachable(server.server_id)
+        ]
+        found: list[Check] = []
+        chosen: _Candidate | None = None
+        for group in self._groups(servers):
+            try:
+                found += await self._checks.check(
+                    servers=group, deadline=request.deadline
+                )
+            except asyncio.CancelledError:
+                self._checks.give_back(found)
+                raise
+            best = self._best(request, route, found)
+            if best and best[0].expected <= self._near_limit(route):
+                break
+        chosen = self._take(request, self._best(request, route, found))
+        self._checks.give_back(
+            [one for one in found if chosen is None or one != chosen.check]
+        )
+        now = asyncio.get_running_loop().time()
+        if chosen is None:
+            return Error(refusals.no_server(bool(servers)))
+        refusal = refusals.late(
+            route=route,
+            expected=chosen.expected,
+            remaining=request.deadline - now,
+        )
+        if refusal is not None:
+            self._checks.give_back((chosen.check,))
+            return Error(refusal)
+        self._sends[chosen.check.server.server_id].append(now)
+        return Ok(
+            CheckedSlot(
+                source=self,
+                route=route,
+                check=chosen.check,
+                expected=chosen.expected,
+                reason=reason or self._reason(chosen.check.server.zone),
+            )
+        )
+
+    def may_serve(self, server: BackendServer) -> bool:
+        """Whether the server may still get new work."""
+        return self._view.may_serve(server)
+
+    def on_release(
+        self,
+        *,
+        route: Route,
+        check: Check,
+        expected: float,
+        outcome: AttemptOutcome | None,
+    ) -> None:
+        """Learn from an attempt, or return the connection it did not use."""
+        if outcome is None:
+            self._checks.give_back((check,))
+            return
+        server = check.server
+        self._standings.observe(
+            server_id=server.server_id, outcome=outcome, expected=expected
+        )
+        if outcome.failure is None:
+            self._estimates.observe(
+                route=route,
+                service=server.service,
+                latency=outcome.latency,
+                expected=expected,
+            )
+
+    def _groups(
+        self, servers: Sequence[BackendServer]
+    ) -> list[list[BackendServer]]:
+        """Servers to check first, and those to check if they are bad."""
+        own: list[BackendServer] = []
+        near: list[BackendServer] = []
+        far: list[BackendServer] = []
+        for server in servers:
+            if server.zone == self._own:
+                own.append(server)
+            elif server.zone.region == self._own.region:
+                near.append(server)
+            else:
+                far.append(server)
+        first = self._sample(own, OWN_ZONE_CHECKS)
+        first += self._sample(near, NEAR_CHECKS - len(first))
+        rest = [one for one in own + near if one not in first]
+        groups = [first, self._sample(far, FAR_CHECKS)]
+        if rest and far:
+            groups.insert(1, self._sample(rest, NEAR_CHECKS))
+        elif rest:
+            groups[1] = self._sample(rest, NEAR_CHECKS)
+        return [group for group in groups if group]
+
+    def _sample(
+        self, servers: Sequence[BackendServer], count: int
+    ) -> list[BackendServer]:
+        return self._rng.sample(servers, max(0, min(count, len(servers))))
+
+    def _near_limit(self, route: Route) -> float:
+        return FAR_THRESHOLD * route.target_latency
+
+    def _best(
+        self, request: Request, route: Route, checks: Sequence[Check]
+    ) -> list[_Candidate]:
+        """Candidates by rising score."""
+        found: list[_Candidate] = []
+        for check in checks:
+            if not self._view.may_serve(check.server):
+                continue
+            sends = self._sends[check.server.server_id]
+            expected = (
+                self._estimates.expected(
+                    route=route,
+                    service=request.service,
+                    load=check.load,
+                    ahead=sum(1 for at in sends if at >= check.started),
+                )
+                + check.ended
+                - check.started
+            )
+            expected *= self._standings.penalty(check.server.server_id)
+            score = expected * self._distance_factor(check.server.zone)
+            if not check.load.is_healthy:
+                score *= UNHEALTHY_FACTOR
+            found.append(_Candidate(check, expected, score))
+        return sorted(found, key=lambda one: one.score)
+
+    def _distance_factor(self, zone: AvailabilityZone) -> float:
+        if zone == self._own:
+            return 1.0
+        if zone.region == self._own.region:
+            return OTHER_ZONE_FACTOR
+        return OTHER_REGION_FACTOR
+
+    def _take(
+        self, request: Request, candidates: Sequence[_Candidate]
+    ) -> _Candidate | None:
+        """The best candidate; a cold one only within its limit."""
+        profile = self._view.table.services.get(request.service)
+        rate = profile.cold_rate if profile is not None else 0.0
+        for candidate in candidates:
+            check = candidate.check
+            if check.load.cold_for <= 0 or self._cold.try_take(
+                server=check.server, cold_rate=rate
+            ):
+                return candidate
+        return None
+
+    def _reason(self, zone: AvailabilityZone) -> AttemptReason:
+        if zone == self._own:
+            return AttemptReason.LOCAL
+        if zone.region == self._own.region:
+            return AttemptReason.REGION
+        return AttemptReason.SPILL_LOAD
--- /dev/null
+++ b/src/teaselrock/coordination/choice/cold.py
@@ -0,0 +1,72 @@
+"""Limit of requests to a cold server, summed over all instances.
+
+A cold server accepts requests from a few owner instances only, chosen by
+rendezvous hashing over the roster; each owner has a fixed part of what the
+server bears, so that no messages are needed.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+from typing import Final
+
+from teaselrock.coordination.ports import RosterEntry
+from teaselrock.coordination import rendezvous
+from teaselrock.state import BackendServer
+
+OWNERS: Final = 3
+# Rosters of two instances may differ for some seconds; the part that is
+# left out lets one instance more than the owners send.
+SHARED_PART: Final = 0.75
+WINDOW_S: Final = 1.0
+
+
+class ColdLimits:
+    """Sends of this instance to cold servers in the last second."""
+
+    def __init__(
+        self, *, own: RosterEntry, overshoot: float, slack: float
+    ) -> None:
+        self._own = own
+        self._overshoot = overshoot
+        self._slack = slack
+        self._roster: tuple[RosterEntry, ...] = (own,)
+        self._has_roster = False
+        self._sends: dict[str, deque[float]] = {}
+
+    def set_bounds(self, *, overshoot: float, slack: float) -> None:
+        """Change the bound: rate x `overshoot` + `slack` in one second."""
+        self._overshoot = overshoot
+        self._slack = slack
+
+    def set_roster(self, roster: Sequence[RosterEntry]) -> None:
+        """Set the instances that share the servers."""
+        known = {one.instance_id: one for one in roster}
+        known[self._own.instance_id] = self._own
+        self._roster = tuple(known.values())
+        self._has_roster = True
+
+    def try_take(self, *, server: BackendServer, cold_rate: float) -> bool:
+        """Take one request to a cold server, if the limit allows."""
+        now = asyncio.get_running_loop().time()
+        sends = self._sends.setdefault(server.server_id, deque())
+        while sends and sends[0] <= now - WINDOW_S:
+            sends.popleft()
+        if len(sends) >= self._limit(server, cold_rate):
+            return False
+        sends.append(now)
+        return True
+
+    def _limit(self, server: BackendServer, cold_rate: float) -> int:
+        if not self._has_roster:
+            return 0
+        near = [
+            one.instance_id
+            for one in self._roster
+            if one.region == server.zone.region
+        ]
+        owners = rendezvous.ranked(key=server.server_id, members=near)[:OWNERS]
+        if self._own.instance_id not in owners:
+            return 0
+        bound = cold_rate * self._overshoot + self._slack
+        return int(bound * SHARED_PART / len(owners))
--- /dev/null
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -0,0 +1,49 @@
+"""When a request is refused before it is sent to a server.
+
+Answers the load of heavy days: once all servers have queues, a request that
+cannot be answered in time would only delay the others.
+"""
+
+from typing import Final
+
+from teaselrock.state import Refusal
+from teaselrock.state import RefusalCode
+from teaselrock.state import Verdict
+from teaselrock.state.routes import Route
+
+# An estimate is uncertain; a request is refused only above this multiple of
+# the time that it has left.
+LATE_FACTOR: Final = 1.0
+# Noise of the servers changes within this time.
+RETRY_AFTER_S: Final = 0.3
+
+
+def late(*, route: Route, expected: float, remaining: float) -> Refusal | None:
+    """Refusal of a request that cannot be answered in time.
+
+    `expected` is the time at the best server, `remaining` what is left
+    until the deadline, both in seconds.
+    """
+    if expected <= LATE_FACTOR * remaining:
+        return None
+    return Refusal(
+        RefusalCode.OVERLOADED,
+        Verdict.DID_NOT_RUN,
+        f'expected {expected:.3f} s, {remaining:.3f} s left',
+        retry_after=RETRY_AFTER_S,
+    )
+
+
+def no_server(has_servers: bool) -> Refusal:
+    """Refusal without a server that could be checked."""
+    detail = (
+        'no backend server answers checks'
+        if has_servers
+        else 'no backend server is in service'
+    )
+    return Refusal(
+        RefusalCode.NO_BACKEND,
+        Verdict.DID_NOT_RUN,
+        detail,
+        retry_after=RETRY_AFTER_S,
+    )
--- a/src/teaselrock/coordination/connections.py
+++ b/src/teaselrock/coordination/connections.py
@@ -28,23 +28,23 @@
 class ConnectionPool:
     """Idle connections by server, newest first."""
 
-    def __init__(self, *, connector: BackendConnector) -> None:
+    def __init__(
+        self,
+        *,
+        connector: BackendConnector,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
+    ) -> None:
         self._connector = connector
+        self._max_idle = max_idle
         self._idle: dict[str, deque[BackendConnection]] = defaultdict(deque)
 
     async def checkout(
         self, *, server: BackendServer, start_id: str, deadline: float
     ) -> Result[BackendConnection, ExchangeFailure]:
         """Take a connection to the start `start_id` ('' for any start)."""
-        idle = self._idle[server.server_id]
-        while idle:
-            connection = idle.pop()
-            if connection.is_open and start_id in (
-                '',
-                connection.load.start_id,
-            ):
-                return Ok(connection)
-            connection.close()
+        connection = self.take_idle(server=server, start_id=start_id)
+        if connection is not None:
+            return Ok(connection)
         opened = await self._connector.connect(
             server=server, deadline=deadline
         )
@@ -65,12 +65,32 @@
             )
         )
 
+    def take_idle(
+        self, *, server: BackendServer, start_id: str = ''
+    ) -> BackendConnection | None:
+        """Take an open idle connection, None if there is none."""
+        idle = self._idle[server.server_id]
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and start_id in (
+                '',
+                connection.load.start_id,
+            ):
+                return connection
+            connection.close()
+        return None
+
+    def drop(self, *, server_id: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        for connection in self._idle.pop(server_id, ()):
+            connection.close()
+
     def checkin(
         self, *, server: BackendServer, connection: BackendConnection
     ) -> None:
         """Return a connection; it is closed if not reusable."""
         idle = self._idle[server.server_id]
-        if connection.is_open and len(idle) < MAX_IDLE_CONNECTIONS:
+        if connection.is_open and len(idle) < self._max_idle:
             idle.append(connection)
         else:
             connection.close()
--- a/src/teaselrock/coordination/dispatch.py
+++ b/src/teaselrock/coordination/dispatch.py
@@ -10,18 +10,17 @@
 from expression import Error
 from expression import Result
 
-from teaselrock.coordination import policy
-from teaselrock.coordination.attempts import AttemptRunner
+from teaselrock.coordination.attempts import Attempts
 from teaselrock.coordination.attempts import Progress
-from teaselrock.coordination.policy import Permission
+from teaselrock.coordination.ports import Admission
 from teaselrock.coordination.ports import Allowances
 from teaselrock.coordination.ports import Claim
-from teaselrock.coordination.ports import Directory
 from teaselrock.coordination.ports import IdempotencyRecords
+from teaselrock.coordination.ports import Permission
+from teaselrock.coordination.ports import Readiness
 from teaselrock.coordination.ports import ReportRow
 from teaselrock.coordination.ports import ReportWriter
 from teaselrock.state import Answer
-from teaselrock.state import Instance
 from teaselrock.state import Refusal
 from teaselrock.state import RefusalCode
 from teaselrock.state import Request
@@ -34,15 +33,15 @@
     def __init__(
         self,
         *,
-        own: Instance,
-        directory: Directory,
-        attempts: AttemptRunner,
+        readiness: Readiness,
+        admission: Admission,
+        attempts: Attempts,
         records: IdempotencyRecords,
         allowances: Allowances,
         report: ReportWriter,
     ) -> None:
-        self._own = own
-        self._directory = directory
+        self._readiness = readiness
+        self._admission = admission
         self._attempts = attempts
         self._records = records
         self._allowances = allowances
@@ -81,8 +80,8 @@
                 self._idle.set()
 
     def check(self, *, request: Request) -> Result[Permission, Refusal]:
-        """Check readiness, deadline and plan, before the body is read."""
-        if not self._directory.is_ready:
+        """Check readiness and admission, before the body is read."""
+        if not self._readiness.is_ready:
             return Error(
                 Refusal(
                     RefusalCode.INSTANCE_NOT_READY,
@@ -91,12 +90,7 @@
                     retry_after=1.0,
                 )
             )
-        return policy.check(
-            document=self._directory.document,
-            customer=request.customer,
-            service=request.service,
-            region=self._own.zone.region,
-        )
+        return self._admission.check(request=request)
 
     def refuse(
         self, *, request: Request, refusal: Refusal
--- a/src/teaselrock/coordination/instance.py
+++ b/src/teaselrock/coordination/instance.py
@@ -27,6 +27,7 @@
 from teaselrock.coordination.idempotency import RecordOptions
 from teaselrock.coordination.idempotency import RecordUpdate
 from teaselrock.coordination.idempotency import StoreRecords
+from teaselrock.coordination.policy import PlanAdmission
 from teaselrock.coordination.ports import BackendConnector
 from teaselrock.coordination.ports import Directory
 from teaselrock.coordination.ports import DocumentCodec
@@ -219,8 +220,8 @@
         if options.slots is not None:
             source = options.slots(directory, _fork(rng))
         self._dispatcher = Dispatcher(
-            own=own,
-            directory=directory,
+            readiness=directory,
+            admission=PlanAdmission(own=own, directory=directory),
             attempts=AttemptRunner(
                 slots=source,
                 connections=self._connections,
--- a/src/teaselrock/coordination/policy.py
+++ b/src/teaselrock/coordination/policy.py
@@ -3,26 +3,36 @@
 `dispatch` asks before anything is charged; nothing here waits.
 """
 
-from typing import NamedTuple
-
 from expression import Error
 from expression import Ok
 from expression import Result
 
 from teaselrock.coordination import home_regions
+from teaselrock.coordination.ports import Directory
+from teaselrock.coordination.ports import Permission
+from teaselrock.state import Instance
 from teaselrock.state import Refusal
 from teaselrock.state import RefusalCode
+from teaselrock.state import Request
 from teaselrock.state import Verdict
-from teaselrock.state.configuration import AllowanceEntry
 from teaselrock.state.configuration import Document
 
 
-class Permission(NamedTuple):
-    """What the customer's plan grants for one service."""
+class PlanAdmission:
+    """`Admission` by the plans of the configuration in force."""
+
+    def __init__(self, *, own: Instance, directory: Directory) -> None:
+        self._own = own
+        self._directory = directory
 
-    regions: frozenset[str]
-    weight: int
-    allowance: AllowanceEntry
+    def check(self, *, request: Request) -> Result[Permission, Refusal]:
+        """Check the request against its customer's plan."""
+        return check(
+            document=self._directory.document,
+            customer=request.customer,
+            service=request.service,
+            region=self._own.zone.region,
+        )
 
 
 def _refuse(code: RefusalCode, detail: str) -> Refusal:
@@ -52,7 +62,7 @@
                 customer=entry, plan_regions=frozenset(allowance['regions'])
             )
             if regions:
-                return Ok(Permission(regions, plan['weight'], allowance))
+                return Ok(Permission(regions, plan['weight']))
     return Error(
         _refuse(
             RefusalCode.NOT_IN_PLAN, f'the plan does not include {service}'
--- a/src/teaselrock/coordination/ports/__init__.py
+++ b/src/teaselrock/coordination/ports/__init__.py
@@ -10,6 +10,7 @@
 from teaselrock.coordination.ports.outside import StoredValue
 from teaselrock.coordination.ports.outside import StoreError
 from teaselrock.coordination.ports.outside import StoreErrorKind
+from teaselrock.coordination.ports.parts import Admission
 from teaselrock.coordination.ports.parts import Allowances
 from teaselrock.coordination.ports.parts import AttemptBudget
 from teaselrock.coordination.ports.parts import Charge
@@ -20,12 +21,20 @@
 from teaselrock.coordination.ports.parts import MemberView
 from teaselrock.coordination.ports.parts import MessageHandler
 from teaselrock.coordination.ports.parts import Peers
+from teaselrock.coordination.ports.parts import Permission
+from teaselrock.coordination.ports.parts import Readiness
 from teaselrock.coordination.ports.parts import ReportRow
 from teaselrock.coordination.ports.parts import ReportWriter
 from teaselrock.coordination.ports.parts import Slot
 from teaselrock.coordination.ports.parts import SlotSource
+from teaselrock.coordination.ports.registry import Entry
+from teaselrock.coordination.ports.registry import Listing
+from teaselrock.coordination.ports.registry import ObjectSource
+from teaselrock.coordination.ports.registry import Roster
+from teaselrock.coordination.ports.registry import RosterEntry
 
 __all__ = (
+    'Admission',
     'Allowances',
     'AttemptBudget',
     'BackendConnection',
@@ -35,15 +44,22 @@
     'Directory',
     'DocumentCodec',
     'DocumentError',
+    'Entry',
     'HedgePolicy',
     'IdempotencyRecords',
+    'Listing',
     'MemberView',
     'MessageHandler',
+    'ObjectSource',
     'PeerLink',
     'Peers',
+    'Permission',
     'PlatformList',
+    'Readiness',
     'ReportRow',
     'ReportWriter',
+    'Roster',
+    'RosterEntry',
     'Slot',
     'SlotSource',
     'Store',
--- a/src/teaselrock/coordination/ports/outside.py
+++ b/src/teaselrock/coordination/ports/outside.py
@@ -48,7 +48,8 @@
 class StoreErrorKind(enum.StrEnum):
     """How a store call failed.
 
-    `UNKNOWN` means that the call may have taken effect.
+    `UNKNOWN` means that the call may have taken effect. `HISTORY_LOST`
+    means that the changes since a revision are no longer known.
     """
 
     CONFLICT = 'conflict'
@@ -56,6 +57,7 @@
     UNKNOWN = 'unknown'
     LIMITED = 'limited'
     TOO_LARGE = 'too-large'
+    HISTORY_LOST = 'history-lost'
 
 
 class StoreError(NamedTuple):
@@ -161,6 +163,12 @@
         """Whether an exchange can start on it."""
         ...
 
+    async def check(
+        self, *, deadline: float
+    ) -> Result[LoadReport, ExchangeFailure]:
+        """Ask the server for its load; the request itself never runs."""
+        ...
+
     async def exchange(
         self, *, content: Content, deadline: float
     ) -> Result[Answer, ExchangeFailure]:
@@ -184,3 +192,9 @@
     ) -> Result[BackendConnection, ExchangeFailure]:
         """Connect and read the load report, which names the start id."""
         ...
+
+    async def open(
+        self, *, server: BackendServer, deadline: float
+    ) -> Result[BackendConnection, ExchangeFailure]:
+        """Connect without a load report."""
+        ...
--- a/src/teaselrock/coordination/ports/parts.py
+++ b/src/teaselrock/coordination/ports/parts.py
@@ -10,6 +10,7 @@
 
 from expression import Result
 
+from teaselrock.coordination.ports.outside import BackendConnection
 from teaselrock.state import AttemptOutcome
 from teaselrock.state import AttemptReason
 from teaselrock.state import BackendServer
@@ -20,7 +21,16 @@
 from teaselrock.state.configuration import Document
 
 
-class Directory(Protocol):
+class Readiness(Protocol):
+    """Whether an instance takes work."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this instance may accept new work."""
+        ...
+
+
+class Directory(Readiness, Protocol):
     """Configuration in force and the servers that may get new work."""
 
     @property
@@ -33,11 +43,6 @@
         """The configuration in force."""
         ...
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether this instance may accept new work."""
-        ...
-
     def backend_servers(self, *, service: str) -> Sequence[BackendServer]:
         """Servers of a service that are neither out nor leaving."""
         ...
@@ -66,6 +71,11 @@
         """Whether a request may still start on the slot."""
         ...
 
+    @property
+    def connection(self) -> BackendConnection | None:
+        """Connection to use, None to take one from the pool."""
+        ...
+
     def release(self, *, outcome: AttemptOutcome | None) -> None:
         """Give the slot back; `outcome` is None if nothing was sent."""
         ...
@@ -115,6 +125,21 @@
         ...
 
 
+class Permission(NamedTuple):
+    """Where a request may be served, and its share in fair queues."""
+
+    regions: frozenset[str]
+    weight: int
+
+
+class Admission(Protocol):
+    """Checks a request against the configuration in force."""
+
+    def check(self, *, request: Request) -> Result[Permission, Refusal]:
+        """Say where the request may be served, or why it may not."""
+        ...
+
+
 class Claim(Protocol):
     """This attempt's hold on an idempotency key."""
 
--- /dev/null
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -0,0 +1,71 @@
+"""Ports to the store of an installation: its objects as typed entries.
+
+`coordination.registry` keeps its view in step through them; whoever
+implements them decodes the store's format.
+"""
+
+from typing import Generic
+from typing import NamedTuple
+from typing import Protocol
+from typing import TypeVar
+
+from expression import Result
+
+from teaselrock.coordination.ports.outside import StoreError
+
+T = TypeVar('T')
+
+
+class Entry(NamedTuple, Generic[T]):
+    """One object; `value` is None if it is deleted or cannot be used."""
+
+    name: str
+    value: T | None
+    is_deleted: bool = False
+
+
+class Listing(NamedTuple, Generic[T]):
+    """All objects of a kind at one revision of the store."""
+
+    entries: tuple[Entry[T], ...]
+    revision: int
+
+
+class ObjectSource(Protocol[T]):
+    """Objects of one kind in the store."""
+
+    async def list_all(self) -> Result[Listing[T], StoreError]:
+        """Read all objects."""
+        ...
+
+    async def changes(
+        self, *, after: int, wait: float
+    ) -> Result[Listing[T], StoreError]:
+        """Wait up to `wait` seconds for changes after a revision.
+
+        `HISTORY_LOST` means that the objects have to be listed again.
+        """
+        ...
+
+
+class RosterEntry(NamedTuple):
+    """An instance as it registered itself."""
+
+    instance_id: str
+    region: str
+    zone: str
+    address: str = ''
+
+
+class Roster(Protocol):
+    """Instances that have registered in the store."""
+
+    async def register(
+        self, *, entry: RosterEntry
+    ) -> Result[None, StoreError]:
+        """Write the own entry."""
+        ...
+
+    async def read(self) -> Result[tuple[RosterEntry, ...], StoreError]:
+        """Read all entries; they may be seconds old."""
+        ...
--- /dev/null
+++ b/src/teaselrock/coordination/reporting/logged.py
@@ -0,0 +1,85 @@
+"""Report rows as log lines, for instances without keepers and segments.
+
+Implements `ReportWriter`: each request ends with one numbered event that
+carries what a row of the report holds. The platform collects the log.
+"""
+
+import asyncio
+
+from expression import Ok
+from expression import Result
+
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.events import Events
+from teaselrock.coordination.ports import ReportRow
+from teaselrock.state import AttemptOutcome
+from teaselrock.state import AttemptReason
+from teaselrock.state import BackendServer
+from teaselrock.state import Refusal
+from teaselrock.state import Request
+from teaselrock.state import Verdict
+
+
+class _LoggedRow:
+    """The row of one request in progress."""
+
+    def __init__(self, *, request: Request, events: Events) -> None:
+        self._request = request
+        self._events = events
+        self._started = asyncio.get_running_loop().time()
+        self._attempts: list[str] = []
+
+    def add_attempt(
+        self,
+        *,
+        server: BackendServer,
+        reason: AttemptReason,
+        outcome: AttemptOutcome,
+        verdict: Verdict,
+    ) -> None:
+        """Add an attempt as `server/zone/reason/end/ms`."""
+        end = outcome.failure.value if outcome.failure is not None else 'ok'
+        self._attempts.append(
+            f'{server.server_id}/{server.zone.name}/{reason.value}/{end}/'
+            f'{outcome.latency * 1000:.0f}'
+        )
+
+    async def finish(
+        self, *, verdict: Verdict, units: int, refusal: Refusal | None
+    ) -> None:
+        """Write the row."""
+        now = asyncio.get_running_loop().time()
+        self._events.emit(
+            event=Event.REQUEST_ENDED,
+            request=self._request.request_id,
+            route=self._request.route.name if self._request.route else '',
+            service=self._request.service,
+            verdict=verdict.value,
+            code=refusal.code.value if refusal is not None else '',
+            detail=refusal.detail if refusal is not None else '',
+            ms=round((now - self._started) * 1000, 1),
+            left_ms=round((self._request.deadline - now) * 1000),
+            attempts=' '.join(self._attempts),
+        )
+
+
+class LoggedReport:
+    """A report whose rows are log lines."""
+
+    def __init__(self, *, events: Events) -> None:
+        self._events = events
+
+    def open(self, *, request: Request) -> Result[ReportRow, Refusal]:
+        """Open a row."""
+        return Ok(_LoggedRow(request=request, events=self._events))
+
+    def refused(self, *, request: Request, refusal: Refusal) -> None:
+        """Write the row of a request that was not admitted."""
+        self._events.emit(
+            event=Event.REQUEST_REFUSED,
+            request=request.request_id,
+            route=request.route.name if request.route else '',
+            service=request.service,
+            code=refusal.code.value,
+            detail=refusal.detail,
+        )
--- /dev/null
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -0,0 +1,168 @@
+"""Assembly of one instance that serves routes of an installation.
+
+It has the interface that daemons use (`dispatcher`, `start`, `stop`), and
+the view of the installation in place of the operators' document.
+"""
+
+import asyncio
+import random
+from typing import Final
+from typing import NamedTuple
+
+from teaselrock.coordination.choice import CheckedSlots
+from teaselrock.coordination.choice import ColdLimits
+from teaselrock.coordination.choice import LoadChecks
+from teaselrock.coordination.choice import Standings
+from teaselrock.coordination.choice import WorkEstimates
+from teaselrock.coordination.connections import ConnectionPool
+from teaselrock.coordination.dispatch import Dispatcher
+from teaselrock.coordination.events import Events
+from teaselrock.coordination.ports import BackendConnector
+from teaselrock.coordination.ports import ObjectSource
+from teaselrock.coordination.ports import Roster
+from teaselrock.coordination.ports import RosterEntry
+from teaselrock.coordination.registry import InstallationSync
+from teaselrock.coordination.registry import InstallationView
+from teaselrock.coordination.reporting.logged import LoggedReport
+from teaselrock.coordination.routed import BudgetBounds
+from teaselrock.coordination.routed import RouteAdmission
+from teaselrock.coordination.routed import RouteRunners
+from teaselrock.coordination.unlimited import UnlimitedAllowances
+from teaselrock.coordination.unlimited import UnsharedRecords
+from teaselrock.state import AvailabilityZone
+from teaselrock.state import BackendServer
+from teaselrock.state.routes import RoutingTable
+
+# Idle connections to one server; all instances share the server's limit.
+MAX_IDLE: Final = 8
+# The roster changes with added instances only; its reads are priced.
+ROSTER_PERIOD_S: Final = 10.0
+ROSTER_RETRY_S: Final = 1.0
+
+
+class RoutedPorts(NamedTuple):
+    """The outside of one instance."""
+
+    connector: BackendConnector
+    tables: ObjectSource[RoutingTable]
+    servers: ObjectSource[BackendServer]
+    zones_out: ObjectSource[str]
+    roster: Roster
+    events: Events
+
+
+class RoutedOptions(NamedTuple):
+    """Options of one instance.
+
+    A cold server bears its rate times `cold_overshoot` plus `cold_slack`
+    requests in one second.
+    """
+
+    own: RosterEntry
+    regions: frozenset[str]
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    budget: BudgetBounds = BudgetBounds()
+
+
+class RoutedInstance:
+    """One instance: its parts, started and stopped together."""
+
+    def __init__(
+        self,
+        *,
+        ports: RoutedPorts,
+        options: RoutedOptions,
+        rng: random.Random,
+    ) -> None:
+        own = options.own
+        self._own = own
+        self._roster = ports.roster
+        self._rng = rng
+        self._view = InstallationView()
+        self._sync = InstallationSync(
+            view=self._view,
+            tables=ports.tables,
+            servers=ports.servers,
+            zones_out=ports.zones_out,
+            events=ports.events,
+            rng=random.Random(rng.getrandbits(64)),
+        )
+        self._connections = ConnectionPool(
+            connector=ports.connector, max_idle=MAX_IDLE
+        )
+        standings = Standings()
+        self._cold = ColdLimits(
+            own=own,
+            overshoot=options.cold_overshoot,
+            slack=options.cold_slack,
+        )
+        slots = CheckedSlots(
+            own=AvailabilityZone(own.region, own.zone),
+            view=self._view,
+            checks=LoadChecks(
+                connector=ports.connector,
+                connections=self._connections,
+                standings=standings,
+            ),
+            cold=self._cold,
+            standings=standings,
+            estimates=WorkEstimates(),
+            rng=random.Random(rng.getrandbits(64)),
+        )
+        self._dispatcher = Dispatcher(
+            readiness=self._view,
+            admission=RouteAdmission(regions=options.regions),
+            attempts=RouteRunners(
+                slots=slots,
+                connections=self._connections,
+                bounds=options.budget,
+            ),
+            records=UnsharedRecords(),
+            allowances=UnlimitedAllowances(),
+            report=LoggedReport(events=ports.events),
+        )
+        self._roster_task: asyncio.Task[None] | None = None
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Serves requests of this instance."""
+        return self._dispatcher
+
+    @property
+    def view(self) -> InstallationView:
+        """Routes, servers and zones as this instance knows them."""
+        return self._view
+
+    @property
+    def sync(self) -> InstallationSync:
+        """What keeps the view in step."""
+        return self._sync
+
+    def set_cold_bounds(self, *, overshoot: float, slack: float) -> None:
+        """Change what cold servers bear; see `RoutedOptions`."""
+        self._cold.set_bounds(overshoot=overshoot, slack=slack)
+
+    async def start(self) -> None:
+        """Start the tasks of the parts; returns when they run."""
+        self._sync.start()
+        self._roster_task = asyncio.create_task(self._follow_roster())
+
+    async def stop(self) -> None:
+        """Finish what is in flight and end the tasks."""
+        await self._dispatcher.drain()
+        if self._roster_task is not None:
+            self._roster_task.cancel()
+            await asyncio.gather(self._roster_task, return_exceptions=True)
+        await self._sync.stop()
+        await self._connections.close()
+
+    async def _follow_roster(self) -> None:
+        """Register once, then read the roster from time to time."""
+        while (await self._roster.register(entry=self._own)).is_error():
+            await asyncio.sleep(ROSTER_RETRY_S * self._rng.uniform(0.5, 1.5))
+        while True:
+            read = await self._roster.read()
+            if read.is_ok():
+                self._cold.set_roster(read.ok)
+            await asyncio.sleep(ROSTER_PERIOD_S * self._rng.uniform(0.8, 1.2))
--- a/src/teaselrock/coordination/routing/__init__.py
+++ b/src/teaselrock/coordination/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from teaselrock.coordination.routing.budget import LatencyHedges
 from teaselrock.coordination.routing.budget import RetryBudget
+from teaselrock.coordination.routing.budget import WindowedBudget
 from teaselrock.coordination.routing.ejection import Ejections
 from teaselrock.coordination.routing.fair_queue import FairQueue
 from teaselrock.coordination.routing.readings import LoadReadings
@@ -14,6 +15,7 @@
     'LatencyHedges',
     'LoadReadings',
     'RetryBudget',
+    'WindowedBudget',
     'reason_for',
     'zone_order',
 )
--- a/src/teaselrock/coordination/routing/budget.py
+++ b/src/teaselrock/coordination/routing/budget.py
@@ -3,6 +3,7 @@
 Both implement ports that `attempts` uses.
 """
 
+import asyncio
 from collections import deque
 from typing import Final
 
@@ -38,6 +39,41 @@
         return True
 
 
+class WindowedBudget:
+    """`AttemptBudget` of one service: a share of the last seconds' requests.
+
+    The sum over all instances keeps to the share of all requests, without
+    any message between them.
+    """
+
+    def __init__(self, *, share: float, window: float, extra: float) -> None:
+        self._share = share
+        self._window = window
+        self._extra = extra
+        self._firsts: deque[float] = deque()
+        self._spent: deque[float] = deque()
+
+    def on_first_attempt(self) -> None:
+        """Count a first attempt."""
+        self._firsts.append(self._expire())
+
+    def try_spend(self) -> bool:
+        """Take one extra attempt if the window allows."""
+        now = self._expire()
+        allowed = self._share * len(self._firsts) + self._extra
+        if len(self._spent) + 1 > allowed:
+            return False
+        self._spent.append(now)
+        return True
+
+    def _expire(self) -> float:
+        now = asyncio.get_running_loop().time()
+        for times in (self._firsts, self._spent):
+            while times and times[0] <= now - self._window:
+                times.popleft()
+        return now
+
+
 class _Latencies:
     def __init__(self) -> None:
         self.samples: deque[float] = deque(maxlen=HEDGE_WINDOW)
--- a/src/teaselrock/coordination/slots/holdings.py
+++ b/src/teaselrock/coordination/slots/holdings.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 
+from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.slots.options import Group
 from teaselrock.state import AttemptOutcome
 from teaselrock.state import AttemptReason
@@ -83,6 +84,11 @@
         now = asyncio.get_running_loop().time()
         return not self._is_released and self._lease.is_startable(now)
 
+    @property
+    def connection(self) -> BackendConnection | None:
+        """None: the pool chooses the connection."""
+        return None
+
     def release(self, *, outcome: AttemptOutcome | None) -> None:
         """Give the slot back; further calls do nothing."""
         if not self._is_released:
--- a/src/teaselrock/coordination/standalone.py
+++ b/src/teaselrock/coordination/standalone.py
@@ -11,6 +11,7 @@
 from teaselrock.coordination.baselines import TwoChoicesPicker
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.dispatch import Dispatcher
+from teaselrock.coordination.policy import PlanAdmission
 from teaselrock.coordination.ports import BackendConnector
 from teaselrock.coordination.ports import Directory
 from teaselrock.coordination.unlimited import FixedDirectory
@@ -36,8 +37,8 @@
         self._connections = ConnectionPool(connector=connector)
         extra = NoExtraAttempts()
         self._dispatcher = Dispatcher(
-            own=own,
-            directory=directory,
+            readiness=directory,
+            admission=PlanAdmission(own=own, directory=directory),
             attempts=AttemptRunner(
                 slots=LocalSlots(
                     directory=directory, picker=TwoChoicesPicker(rng=rng)
--- a/src/teaselrock/coordination/unlimited.py
+++ b/src/teaselrock/coordination/unlimited.py
@@ -111,6 +111,27 @@
         return Error(Refusal(code, verdict, 'the idempotency key was used'))
 
 
+class _NoClaim:
+    @property
+    def may_send(self) -> bool:
+        return True
+
+    async def finish(self, *, verdict: Verdict) -> None:
+        pass
+
+
+class UnsharedRecords:
+    """No records, for callers whose every attempt has an id of its own.
+
+    The attempts of one request are then all made by one instance, which
+    never sends a request again that may have run.
+    """
+
+    async def claim(self, *, request: Request) -> Result[Claim, Refusal]:
+        """Allow any request."""
+        return Ok(_NoClaim())
+
+
 class _NoRow:
     def add_attempt(
         self,
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -21,6 +21,17 @@
 
 QUEUE_LINES: Final = 1000
 REPEAT_INTERVAL_S: Final = 1.0
+# Lines of one event within `REPEAT_INTERVAL_S`; other events get one. One
+# line for each request is needed to explain it, up to what a log can take.
+LINES: Final[dict[Event, int]] = {
+    Event.REQUEST_ENDED: 200,
+    Event.REQUEST_REFUSED: 100,
+    Event.SERVER_REGISTERED: 50,
+    Event.SERVER_DRAINS: 50,
+    Event.SERVER_GONE: 50,
+    Event.STORE_LOST: 5,
+    Event.STORE_REGAINED: 5,
+}
 # Fields are names, counts and error details of this system.
 MAX_FIELD_CHARS: Final = 300
 
@@ -41,15 +52,19 @@
         Event.SEGMENT_FLUSH_FAILED,
         Event.REPORT_FULL,
         Event.FAILED_WRITER_FLUSHED,
+        Event.SETTINGS_INVALID,
+        Event.STORE_LOST,
+        Event.OBJECT_UNREADABLE,
     ),
     logging.WARNING,
 )
 
 
 class _Repeats(NamedTuple):
-    """When an event was written last and how often it was dropped since."""
+    """Lines of an event since `since`, and those that were left out."""
 
-    written: float
+    since: float
+    written: int
     dropped: int
 
 
@@ -108,19 +123,24 @@
         self._listener.stop()
 
     def emit(self, *, event: Event, **fields: str | int | float) -> None:
-        """Queue an event, unless it was written within the last second.
+        """Queue an event, unless its lines of this second are used up.
 
         The next line of the event tells how many were left out.
         """
         self._on_event(event)
         now = self._clock()
         repeats = self._repeats.get(event)
-        if repeats is not None and now < repeats.written + REPEAT_INTERVAL_S:
+        if repeats is None or now >= repeats.since + REPEAT_INTERVAL_S:
+            self._repeats[event] = _Repeats(now, 1, 0)
+        elif repeats.written >= LINES.get(event, 1):
             self._repeats[event] = repeats._replace(
                 dropped=repeats.dropped + 1
             )
             return
-        self._repeats[event] = _Repeats(now, 0)
+        else:
+            self._repeats[event] = repeats._replace(
+                written=repeats.written + 1, dropped=0
+            )
         extra: dict[str, str | int | float] = {
             'number': event.value,
             'instance': self._instance_id,
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -190,22 +190,27 @@
     def watch(
         self,
         *,
-        directory: Directory,
+        version: Callable[[], int],
+        is_ready: Callable[[], bool],
         in_flight: Callable[[], int],
-        read: Callable[[], Readings] = Readings,
+        directory: Directory | None = None,
+        read: Callable[[], Readings] | None = None,
     ) -> None:
-        """Measure an instance; the callables run in other threads."""
+        """Measure an instance; the callables run in other threads.
+
+        `directory` names the customers, `read` gives the parts' metrics.
+        """
         self._directory = directory
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             (
                 'teaselrock_configuration_version',
                 'Version of the configuration in force.',
-                lambda: directory.version,
+                version,
             ),
             (
                 'teaselrock_ready',
                 '1 if the instance accepts new work.',
-                lambda: directory.is_ready,
+                is_ready,
             ),
             (
                 'teaselrock_requests_in_flight',
@@ -215,7 +220,8 @@
         )
         for name, text, value in gauges:
             Gauge(name, text, registry=self._registry).set_function(value)
-        self._registry.register(_PartsCollector(read=read))
+        if read is not None:
+            self._registry.register(_PartsCollector(read=read))
 
     def exposition(self) -> bytes:
         """All metrics in the Prometheus text format."""
--- /dev/null
+++ b/src/teaselrock/platform/headers.py
@@ -0,0 +1,222 @@
+"""Header fields of the platform, on both sides of a gateway.
+
+Implements `transport`'s `BackendDialect` and `CallerDialect`.
+"""
+
+from collections.abc import Callable
+import re
+from typing import Final
+
+from teaselrock.protocol import fields
+from teaselrock.state import BackendServer
+from teaselrock.state import Content
+from teaselrock.state import ExchangeFailure
+from teaselrock.state import FailureKind
+from teaselrock.state import LoadReport
+from teaselrock.state import ServerState
+from teaselrock.state import Verdict
+from teaselrock.transport.answers import AnswerParser
+from teaselrock.transport.dialect import Headers
+from teaselrock.transport.dialect import ReadAnswer
+from teaselrock.transport.requests import CallerRequest
+from teaselrock.transport.routed_front import CallerFields
+
+REQUEST_ID: Final = 'X-Teaselrock-Request-Id'
+# Milliseconds that the sender of a request will still wait.
+DEADLINE: Final = 'X-Teaselrock-Deadline-Ms'
+# Proof that the body is a server's own.
+SIGNATURE: Final = 'X-Teaselrock-Response-Signature'
+EXPECTED_INSTANCE: Final = 'X-Teaselrock-Expected-Instance'
+NOT_EXECUTED: Final = 'X-Teaselrock-Not-Executed'
+# Id of a backend server, not of one of our instances.
+SERVER_ID: Final = 'X-Teaselrock-Instance-Id'
+# running,waiting,slots[,work factor in percent]
+SERVER_LOAD: Final = 'X-Teaselrock-Server-Load'
+COLD_LEFT_MS: Final = 'X-Teaselrock-Cold-Ms'
+
+DEFAULT_HEALTH_TARGET: Final = '/health'
+MISDIRECTED: Final = 421
+MAX_DEADLINE_MS: Final = 3_600_000
+_NUMBER: Final = re.compile(r'[0-9]{1,9}')
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d{1,6})')
+_FROM_CALLER: Final = fields.HOP_BY_HOP | {
+    DEADLINE.lower(),
+    EXPECTED_INSTANCE.lower(),
+}
+_TO_CALLER: Final = fields.HOP_BY_HOP | {
+    SERVER_LOAD.lower(),
+    SERVER_ID.lower(),
+    NOT_EXECUTED.lower(),
+    COLD_LEFT_MS.lower(),
+}
+
+
+class PlatformBackendDialect:
+    """Fields between a gateway and the platform's servers."""
+
+    def __init__(self, *, health_target: Callable[[str], str]) -> None:
+        self._health_target = health_target
+
+    @property
+    def accepts_unframed(self) -> bool:
+        """True: answers without a length end with a clean close."""
+        return True
+
+    @property
+    def reads_load_first(self) -> bool:
+        """False: each choice checks the load itself."""
+        return False
+
+    def load_check(self, *, server: BackendServer) -> Content:
+        """A health check, which the servers answer at once."""
+        return Content('GET', self._health_target(server.service), (), b'')
+
+    def request_fields(
+        self, *, server: BackendServer, content: Content, remaining: float
+    ) -> Headers:
+        """The caller's fields, the remaining time and the server's id."""
+        if _is_check(content):
+            return (('Host', server.address),)
+        return (
+            *content.headers,
+            (DEADLINE, str(max(1, int(remaining * 1000)))),
+            (EXPECTED_INSTANCE, server.server_id),
+        )
+
+    def read(
+        self, *, server: BackendServer, content: Content, answer: AnswerParser
+    ) -> ReadAnswer:
+        """Judge a complete answer."""
+        load = _load(server, answer)
+        if _is_check(content):
+            return _read_check(server, answer, load)
+        expected = _field(content.headers, REQUEST_ID)
+        echoed = answer.field(REQUEST_ID)
+        if echoed is not None and expected is not None and echoed != expected:
+            return ReadAnswer(
+                failure=_failure('answer to another request'), is_foreign=True
+            )
+        failure = _refusal_of(answer, load) or _spoiled(answer)
+        return ReadAnswer(load, failure, idle_limit=_idle_limit(answer))
+
+    def answer_fields(self, *, answer: AnswerParser) -> Headers:
+        """Fields for the caller."""
+        return answer.forwarded(_TO_CALLER)
+
+
+class PlatformCallerDialect:
+    """Fields between callers and a gateway."""
+
+    @property
+    def not_forwarded(self) -> frozenset[str]:
+        """Fields that stop at the gateway or are set anew."""
+        return _FROM_CALLER
+
+    def read(self, request: CallerRequest) -> CallerFields:
+        """Id and remaining time of a request."""
+        text = request.field(DEADLINE.lower())
+        remaining = None
+        if text is not None and _NUMBER.fullmatch(text):
+            remaining = min(int(text), MAX_DEADLINE_MS) / 1000
+        return CallerFields(request.field(REQUEST_ID.lower()) or '', remaining)
+
+    def refusal_fields(self, *, request_id: str) -> Headers:
+        """The id of the refused request."""
+        return ((REQUEST_ID, request_id),) if request_id else ()
+
+
+def _is_check(content: Content) -> bool:
+    """Only load checks are sent without any field of a caller."""
+    return not content.headers
+
+
+def _field(headers: Headers, name: str) -> str | None:
+    lower = name.lower()
+    for known, value in headers:
+        if known.lower() == lower:
+            return value
+    return None
+
+
+def _failure(
+    detail: str,
+    kind: FailureKind = FailureKind.RESET,
+    verdict: Verdict = Verdict.MAY_HAVE_RUN,
+    load: LoadReport | None = None,
+) -> ExchangeFailure:
+    return ExchangeFailure(kind, verdict, detail, load)
+
+
+def _read_check(
+    server: BackendServer, answer: AnswerParser, load: LoadReport
+) -> ReadAnswer:
+    server_id = answer.field(SERVER_ID)
+    if server_id is None or answer.field(SIGNATURE) is not None:
+        return ReadAnswer(
+            failure=_failure('no answer to a load check'), is_foreign=True
+        )
+    if server_id != server.server_id:
+        return ReadAnswer(
+            failure=_failure(
+                f'the address belongs to {server_id}', FailureKind.START_ID
+            )
+        )
+    return ReadAnswer(load, idle_limit=_idle_limit(answer))
+
+
+def _refusal_of(
+    answer: AnswerParser, load: LoadReport
+) -> ExchangeFailure | None:
+    """Failure of an answer that says that the request did not run."""
+    if answer.status == MISDIRECTED:
+        return _failure(
+            'another server has the address',
+            FailureKind.START_ID,
+            Verdict.DID_NOT_RUN,
+        )
+    if answer.field(NOT_EXECUTED) is not None and answer.status != 400:
+        return _failure(
+            f'backend server answered {answer.status}: not run',
+            FailureKind.SHED,
+            Verdict.DID_NOT_RUN,
+            load,
+        )
+    return None
+
+
+def _spoiled(answer: AnswerParser) -> ExchangeFailure | None:
+    """Failure of an answer that is not the server's own whole answer."""
+    if 200 <= answer.status < 300 and answer.field(SIGNATURE) is None:
+        return _failure('success without a signature', FailureKind.SHORT_BODY)
+    if answer.field('Content-Encoding') is not None:
+        return _failure('answer with a coding', FailureKind.SHORT_BODY)
+    return None
+
+
+def _idle_limit(answer: AnswerParser) -> float | None:
+    found = _KEEP_ALIVE_TIMEOUT.search(answer.field('Keep-Alive') or '')
+    return float(found.group(1)) if found is not None else None
+
+
+def _load(server: BackendServer, answer: AnswerParser) -> LoadReport:
+    """Load report of an answer; without the field, an idle server."""
+    figures = (answer.field(SERVER_LOAD) or '').split(',')
+    try:
+        running, waiting, slots = (int(text) for text in figures[:3])
+    except ValueError:
+        running, waiting, slots = 0, 0, server.concurrency
+    factor = 1.0
+    if len(figures) > 3 and _NUMBER.fullmatch(figures[3].strip()):
+        factor = max(1, int(figures[3])) / 100
+    cold = answer.field(COLD_LEFT_MS) or '0'
+    cold_for = int(cold) / 1000 if _NUMBER.fullmatch(cold) else 0.0
+    return LoadReport(
+        start_id=server.server_id,
+        state=ServerState.COLD if cold_for > 0 else ServerState.WARM,
+        in_flight=running,
+        bears=max(1, slots),
+        waiting=waiting,
+        work_factor=factor,
+        cold_for=cold_for,
+        is_healthy=answer.status == 200,
+    )
--- /dev/null
+++ b/src/teaselrock/platform/settings.py
@@ -0,0 +1,159 @@
+"""Decodes the platform's settings file of a process.
+
+`daemon.platform_gateway` reads it at the start and after changes.
+"""
+
+from collections.abc import Mapping
+import os
+import pathlib
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+PATH_VARIABLE: Final = 'TEASELROCK_SETTINGS'
+# The platform asks here whether an instance takes new connections.
+READY_PATH: Final = '/ready'
+
+
+class Address(NamedTuple):
+    """A TCP address."""
+
+    host: str
+    port: int
+
+
+class InstallationBounds(NamedTuple):
+    """Bounds that the installation sets; times are in seconds.
+
+    A cold server bears its rate times `cold_overshoot` plus `cold_slack`
+    requests in one second. Extra attempts may be `retry_share` of the
+    requests of `retry_window`, plus `retry_extra`, over all instances.
+    """
+
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    retry_share: float = 0.1
+    retry_extra: float = 0.0
+    retry_window: float = 10.0
+    stop_grace: float = 6.0
+
+
+class ProcessSettings(NamedTuple):
+    """Settings of one process on the platform."""
+
+    instance_id: str
+    region: str
+    zone: str
+    zone_regions: Mapping[str, str]
+    callers: Address
+    readiness: Address
+    store: Address
+    peer_host: str
+    peer_ports: tuple[int, int]
+    bounds: InstallationBounds
+
+
+class SettingsProblem(NamedTuple):
+    """Why settings cannot be used."""
+
+    field: str
+    reason: str
+
+
+def settings_path() -> pathlib.Path:
+    """Path of the settings file."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, ''))
+
+
+def load(path: pathlib.Path) -> Result[ProcessSettings, SettingsProblem]:
+    """Read and decode a settings file."""
+    try:
+        document = msgspec.json.decode(path.read_bytes())
+    except (OSError, msgspec.DecodeError) as error:
+        return Error(SettingsProblem('', f'cannot read {path}: {error}'))
+    return decode(document)
+
+
+def decode(document: Any) -> Result[ProcessSettings, SettingsProblem]:
+    """Decode settings; fields that are not known are ignored."""
+    field = ''
+    try:
+        field = 'node_name'
+        instance_id = _text(document[field])
+        field = 'zones'
+        zone_regions = {
+            _text(zone): _text(region)
+            for zone, region in document[field].items()
+        }
+        field = 'zone'
+        zone = _text(document[field])
+        field = 'region'
+        region = _text(document[field])
+        field = 'listen.front'
+        callers = _address(document['listen']['front'])
+        field = 'listen.readiness_addr'
+        readiness = _address(document['listen']['readiness_addr'])
+        field = 'platform.address'
+        store = _address(document['platform']['address'])
+        field = 'ip'
+        peer_host = _text(document[field])
+        field = 'port_range'
+        first, last = document[field]
+        peer_ports = (int(first), int(last))
+        field = 'bounds'
+        bounds = _bounds(document.get(field) or ())
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Error(SettingsProblem(field, str(error) or 'missing'))
+    return Ok(
+        ProcessSettings(
+            instance_id,
+            region,
+            zone,
+            zone_regions,
+            callers,
+            readiness,
+            store,
+            peer_host,
+            peer_ports,
+            bounds,
+        )
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError('must be a text')
+    return value
+
+
+def _address(value: Any) -> Address:
+    host, colon, port = _text(value).rpartition(':')
+    if not colon or not host:
+        raise ValueError('must be HOST:PORT')
+    return Address(host, int(port))
+
+
+def _bounds(texts: Any) -> InstallationBounds:
+    """Bounds come as a list of texts `name=value`."""
+    values: dict[str, float] = {}
+    for text in texts:
+        name, _, value = str(text).partition('=')
+        try:
+            values[name.strip()] = float(value)
+        except ValueError:
+            # Bounds may also be true or false; none of those is used.
+            continue
+    default = InstallationBounds()
+    return InstallationBounds(
+        cold_overshoot=values.get('cold_overshoot', default.cold_overshoot),
+        cold_slack=values.get('cold_slack', default.cold_slack),
+        retry_share=values.get('retry_budget_ratio', default.retry_share),
+        retry_extra=values.get('retry_budget_extra', default.retry_extra),
+        retry_window=values.get('budget_window_s', default.retry_window),
+        stop_grace=values.get('grace_s', default.stop_grace),
+    )
--- /dev/null
+++ b/src/teaselrock/platform/store.py
@@ -0,0 +1,311 @@
+"""Client of the platform's store: the one place that calls it.
+
+Implements `ObjectSource` for each kind of object and `Roster`. Calls run on
+`transport.backend` connections: a waiting call must end with its task, which
+the blocking client of the command line cannot do.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+from typing import Generic
+from typing import TypeVar
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.events import Events
+from teaselrock.coordination.ports import BackendConnection
+from teaselrock.coordination.ports import Entry
+from teaselrock.coordination.ports import Listing
+from teaselrock.coordination.ports import RosterEntry
+from teaselrock.coordination.ports import StoreError
+from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.platform import documents
+from teaselrock.protocol import fields
+from teaselrock.state import Answer
+from teaselrock.state import AvailabilityZone
+from teaselrock.state import BackendServer
+from teaselrock.state import Content
+from teaselrock.state import Verdict
+from teaselrock.transport.answers import AnswerParser
+from teaselrock.transport.backend import HttpConnector
+from teaselrock.transport.dialect import Headers
+from teaselrock.transport.dialect import ReadAnswer
+
+T = TypeVar('T')
+
+CALL_TIMEOUT_S: Final = 2.0
+# A waiting call may be answered this much after its wait.
+WAIT_MARGIN_S: Final = 2.0
+MAX_WAIT_MS: Final = 30_000
+MAX_IDLE: Final = 2
+# Kinds of objects; the last one is teaselrock's own.
+TABLES: Final = 'config'
+SERVERS: Final = 'servers'
+ZONES_OUT: Final = 'evacuations'
+INSTANCES: Final = 'teaselrock-instances'
+_KINDS: Final = {
+    404: StoreErrorKind.CONFLICT,
+    409: StoreErrorKind.CONFLICT,
+    410: StoreErrorKind.HISTORY_LOST,
+    413: StoreErrorKind.TOO_LARGE,
+    429: StoreErrorKind.LIMITED,
+    503: StoreErrorKind.UNAVAILABLE,
+}
+
+
+class _PlainDialect:
+    """Plain HTTP: the store adds no fields of its own."""
+
+    @property
+    def accepts_unframed(self) -> bool:
+        return False
+
+    @property
+    def reads_load_first(self) -> bool:
+        return False
+
+    def load_check(self, *, server: BackendServer) -> Content:
+        raise NotImplementedError('the store has no load report')
+
+    def request_fields(
+        self, *, server: BackendServer, content: Content, remaining: float
+    ) -> Headers:
+        return (('Host', server.address), *content.headers)
+
+    def read(
+        self, *, server: BackendServer, content: Content, answer: AnswerParser
+    ) -> ReadAnswer:
+        return ReadAnswer()
+
+    def answer_fields(self, *, answer: AnswerParser) -> Headers:
+        return answer.forwarded(fields.HOP_BY_HOP)
+
+
+class StoreClient:
+    """Calls of the store, on a few kept connections."""
+
+    def __init__(self, *, address: str) -> None:
+        self._server = BackendServer(
+            'store', '', AvailabilityZone('', ''), address, 1
+        )
+        self._connector = HttpConnector(dialect=_PlainDialect())
+        self._idle: deque[BackendConnection] = deque()
+
+    async def call(
+        self,
+        *,
+        method: str,
+        path: str,
+        query: dict[str, str | int] | None = None,
+        body: Any = None,
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> Result[Any, StoreError]:
+        """Make one call; returns the decoded body of a 2xx answer.
+
+        `timeout` is in seconds.
+        """
+        target = path if not query else f'{path}?{urlencode(query)}'
+        content = Content(
+            method,
+            target,
+            (('Content-Type', 'application/json'),),
+            msgspec.json.encode(body) if body is not None else b'',
+        )
+        deadline = asyncio.get_running_loop().time() + timeout
+        answered = await self._exchange(content, deadline)
+        if answered.is_error():
+            return Error(answered.error)
+        answer = answered.ok
+        if not 200 <= answer.status < 300:
+            kind = _KINDS.get(answer.status, StoreErrorKind.UNKNOWN)
+            return Error(StoreError(kind, f'{method} {path}: {answer.status}'))
+        try:
+            return Ok(msgspec.json.decode(answer.body))
+        except msgspec.DecodeError as error:
+            return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
+
+    def close(self) -> None:
+        """Close idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _exchange(
+        self, content: Content, deadline: float
+    ) -> Result[Answer, StoreError]:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                break
+            connection.close()
+        else:
+            opened = await self._connector.connect(
+                server=self._server, deadline=deadline
+            )
+            if opened.is_error():
+                return Error(
+                    StoreError(StoreErrorKind.UNAVAILABLE, opened.error.detail)
+                )
+            connection = opened.ok
+        try:
+            result = await connection.exchange(
+                content=content, deadline=deadline
+            )
+        finally:
+            if connection.is_open and len(self._idle) < MAX_IDLE:
+                self._idle.append(connection)
+            else:
+                connection.close()
+        if result.is_error():
+            kind = (
+                StoreErrorKind.UNAVAILABLE
+                if result.error.verdict is Verdict.DID_NOT_RUN
+                else StoreErrorKind.UNKNOWN
+            )
+            return Error(StoreError(kind, result.error.detail))
+        return Ok(result.ok)
+
+
+class StoredKind(Generic[T]):
+    """`ObjectSource` of one kind of object."""
+
+    def __init__(
+        self,
+        *,
+        client: StoreClient,
+        kind: str,
+        decode: Callable[[str, Any], T | None],
+        events: Events,
+    ) -> None:
+        self._client = client
+        self._path = f'/objects/{kind}'
+        self._decode = decode
+        self._events = events
+
+    async def list_all(self) -> Result[Listing[T], StoreError]:
+        """Read all pages."""
+        return await self.read(is_stale_ok=False)
+
+    async def read(
+        self, *, is_stale_ok: bool
+    ) -> Result[Listing[T], StoreError]:
+        """Read all pages; stale reads cost a tenth."""
+        entries: list[Entry[T]] = []
+        query: dict[str, str | int] = {}
+        if is_stale_ok:
+            query['serializable'] = 1
+        while True:
+            called = await self._client.call(
+                method='GET', path=self._path, query=query
+            )
+            if called.is_error():
+                return Error(called.error)
+            page = called.ok
+            try:
+                found = [self._entry(item, False) for item in page['items']]
+                revision = int(page['store_revision'])
+                more = bool(page.get('has_more'))
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                return Error(_unreadable(error))
+            entries += found
+            if not more or not found:
+                return Ok(Listing(tuple(entries), revision))
+            query['after'] = found[-1].name
+
+    async def changes(
+        self, *, after: int, wait: float
+    ) -> Result[Listing[T], StoreError]:
+        """Wait for changes."""
+        called = await self._client.call(
+            method='GET',
+            path=self._path,
+            query={
+                'watch': after,
+                'wait_ms': min(MAX_WAIT_MS, int(wait * 1000)),
+            },
+            timeout=wait + WAIT_MARGIN_S,
+        )
+        if called.is_error():
+            return Error(called.error)
+        page = called.ok
+        try:
+            entries = tuple(
+                self._entry(event['object'], bool(event.get('deleted')))
+                for event in page['events']
+            )
+            return Ok(Listing(entries, int(page['store_revision'])))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            return Error(_unreadable(error))
+
+    def _entry(self, item: Any, is_deleted: bool) -> Entry[T]:
+        """Decode an object; a broken one is an entry without a value."""
+        meta = item['metadata']
+        name = str(meta['name'])
+        if is_deleted or meta.get('deleting'):
+            return Entry(name, None, True)
+        value = self._decode(name, item.get('spec'))
+        if value is None:
+            self._events.emit(
+                event=Event.OBJECT_UNREADABLE, object=f'{self._path}/{name}'
+            )
+        return Entry(name, value)
+
+
+class StoredRoster:
+    """`Roster` in a kind of teaselrock's own."""
+
+    def __init__(self, *, client: StoreClient, events: Events) -> None:
+        self._client = client
+        self._kind = StoredKind(
+            client=client,
+            kind=INSTANCES,
+            decode=documents.decode_instance,
+            events=events,
+        )
+
+    async def register(
+        self, *, entry: RosterEntry
+    ) -> Result[None, StoreError]:
+        """Write the own entry; a restart finds it unchanged or replaces it."""
+        spec = documents.encode_instance(entry)
+        path = f'/objects/{INSTANCES}'
+        made = await self._client.call(
+            method='POST',
+            path=path,
+            body={'metadata': {'name': entry.instance_id}, 'spec': spec},
+        )
+        if made.is_ok():
+            return Ok(None)
+        if made.error.kind is not StoreErrorKind.CONFLICT:
+            return Error(made.error)
+        replaced = await self._client.call(
+            method='PUT',
+            path=f'{path}/{quote(entry.instance_id, safe="")}',
+            body={'metadata': {'name': entry.instance_id}, 'spec': spec},
+        )
+        return Error(replaced.error) if replaced.is_error() else Ok(None)
+
+    async def read(self) -> Result[tuple[RosterEntry, ...], StoreError]:
+        """Read all entries."""
+        listed = await self._kind.read(is_stale_ok=True)
+        if listed.is_error():
+            return Error(listed.error)
+        return Ok(
+            tuple(
+                one.value for one in listed.ok.entries if one.value is not None
+            )
+        )
+
+
+def _unreadable(error: Exception) -> StoreError:
+    return StoreError(
+        StoreErrorKind.UNKNOWN, f'unreadable answer of the store: {error!r}'
+    )
--- a/src/teaselrock/standins/connector.py
+++ b/src/teaselrock/standins/connector.py
@@ -79,6 +79,20 @@
         if self._work is not None:
             self._work.cancel()
 
+    async def check(
+        self, *, deadline: float
+    ) -> Result[LoadReport, ExchangeFailure]:
+        """Ask the server for its load."""
+        await asyncio.sleep(2 * self._delay)
+        if not self._is_open:
+            return Error(
+                _broken(FailureKind.RESET)._replace(
+                    verdict=Verdict.DID_NOT_RUN
+                )
+            )
+        self._load = self._model.load
+        return Ok(self._load)
+
     async def exchange(
         self, *, content: Content, deadline: float
     ) -> Result[Answer, ExchangeFailure]:
@@ -176,6 +190,12 @@
             return Error(_connect_failure(server, 'refused'))
         return Ok(connection)
 
+    async def open(
+        self, *, server: BackendServer, deadline: float
+    ) -> Result[BackendConnection, ExchangeFailure]:
+        """Connect; the load report is not asked for."""
+        return await self.connect(server=server, deadline=deadline)
+
 
 def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
     return ExchangeFailure(
--- a/src/teaselrock/standins/gates.py
+++ b/src/teaselrock/standins/gates.py
@@ -207,6 +207,15 @@
         """Close."""
         self._connection.close()
 
+    async def check(
+        self, *, deadline: float
+    ) -> Result[LoadReport, ExchangeFailure]:
+        """Ask the server for its load."""
+        await self._gate.wait()
+        result = await self._connection.check(deadline=deadline)
+        await self._gate.wait()
+        return result
+
     async def exchange(
         self, *, content: Content, deadline: float
     ) -> Result[Answer, ExchangeFailure]:
@@ -245,6 +254,12 @@
         await self._gate.wait()
         return Ok(connection)
 
+    async def open(
+        self, *, server: BackendServer, deadline: float
+    ) -> Result[BackendConnection, ExchangeFailure]:
+        """Connect; the load report is not asked for."""
+        return await self.connect(server=server, deadline=deadline)
+
     def close_all(self) -> None:
         """Close all connections, as the end of the process does."""
         for connection in self._opened:
--- a/src/teaselrock/state/request.py
+++ b/src/teaselrock/state/request.py
@@ -6,6 +6,7 @@
 import enum
 from typing import NamedTuple
 
+from teaselrock.state.routes import Route
 from teaselrock.state.topology import LoadReport
 from teaselrock.state.verdict import Verdict
 
@@ -25,7 +26,8 @@
     `deadline` is on the clock of the event loop, in seconds. `key_digest` is
     the keyed digest of the idempotency key, or None for an idempotent
     request. `depth` counts levels of calls, `attempt` the caller's attempts,
-    both as received.
+    both as received. `route` is set for a request that was matched against a
+    routing table; such a request has no customer and no key.
     """
 
     customer: str
@@ -36,10 +38,14 @@
     units: int = 1
     depth: int = 0
     attempt: int = 1
+    request_id: str = ''
+    route: Route | None = None
 
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
+        if self.route is not None:
+            return self.route.is_idempotent
         return self.key_digest is None
 
 
--- a/src/teaselrock/state/topology.py
+++ b/src/teaselrock/state/topology.py
@@ -29,7 +29,8 @@
     """A backend server of one service.
 
     `concurrency` is the number of concurrent requests that it bears when
-    warm; `address` is `host:port`.
+    warm; `address` is `host:port`. `started` tells starts under the same id
+    apart: the Unix time of the start in milliseconds, 0 if unknown.
     """
 
     server_id: str
@@ -38,6 +39,7 @@
     address: str
     concurrency: int
     leaving: bool = False
+    started: int = 0
 
 
 class Instance(NamedTuple):
@@ -52,10 +54,16 @@
     """Load as reported by a backend server; it may be stale or misleading.
 
     `start_id` changes with every start of the server process. `bears` is the
-    concurrency that the server says it bears now.
+    concurrency that the server says it bears now. `work_factor` is how long
+    work takes there now, 1.0 being usual. `cold_for` is how much longer the
+    server stays cold, in seconds.
     """
 
     start_id: str
     state: ServerState
     in_flight: int
     bears: int
+    waiting: int = 0
+    work_factor: float = 1.0
+    cold_for: float = 0.0
+    is_healthy: bool = True
--- a/src/teaselrock/transport/answers.py
+++ b/src/teaselrock/transport/answers.py
@@ -32,6 +32,7 @@
         self._is_complete = False
         self._has_leftover = False
         self._keep_alive = False
+        self._received = b''
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -54,6 +55,15 @@
         """Whether the whole answer has been read."""
         return self._is_complete
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the end of the connection ends the answer."""
+        return (
+            self._has_head
+            and self.field('Content-Length') is None
+            and self.field('Transfer-Encoding') is None
+        )
+
     @property
     def is_too_large(self) -> bool:
         """Whether the body exceeds `MAX_ANSWER_BYTES`."""
@@ -69,11 +79,24 @@
         """Whether bytes followed the answer."""
         return self._has_leftover
 
+    @property
+    def rest(self) -> bytes | None:
+        """Bytes after a complete answer, None if its end is not known."""
+        if not self._has_leftover:
+            return b''
+        head, separator, body = self._received.partition(b'\r\n\r\n')
+        length = self.field('Content-Length')
+        if not separator or length is None or not length.isdigit():
+            return None
+        return body[int(length) :] or None
+
     def feed(self, data: bytes) -> None:
         """Parse more bytes.
 
         Raises `AnswerError` or `httptools.HttpParserError`.
         """
+        if len(self._received) <= MAX_HEAD_BYTES:
+            self._received += data
         if not self._has_head:
             self._head_bytes += len(data)
         try:
@@ -95,14 +118,16 @@
                 return value
         return None
 
-    def forwarded(self) -> tuple[tuple[str, str], ...]:
-        """Header fields for the caller.
+    def forwarded(
+        self, dropped: frozenset[str]
+    ) -> tuple[tuple[str, str], ...]:
+        """Header fields for the caller, without those in `dropped`.
 
         The length of a HEAD answer is that of the body that GET would have,
         so it is kept there alone.
         """
         length = self.field('Content-Length')
-        kept = fields.forwarded(self._headers, fields.NOT_ANSWERED)
+        kept = fields.forwarded(self._headers, dropped)
         if self._is_head and length is not None:
             return (*kept, ('Content-Length', length))
         return kept
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -2,11 +2,12 @@
 
 A connection of our own is needed for two reasons: the verdict depends on
 whether any byte was handed to the connection, and a slot is bound to the
-start id that the connection opened with.
+start id that the connection opened with. `dialect` knows the fields.
 """
 
 import asyncio
 import re
+import socket
 from typing import Final
 
 from expression import Error
@@ -15,7 +16,6 @@
 import httptools
 
 from teaselrock.coordination.ports import BackendConnection
-from teaselrock.protocol import fields
 from teaselrock.state import Answer
 from teaselrock.state import BackendServer
 from teaselrock.state import Content
@@ -27,11 +27,18 @@
 from teaselrock.transport.answers import AnswerError
 from teaselrock.transport.answers import AnswerParser
 from teaselrock.transport.answers import MAX_ANSWER_BYTES
+from teaselrock.transport.dialect import BackendDialect
+from teaselrock.transport.dialect import OwnDialect
 
 READ_BYTES: Final = 65536
 CONNECT_TIMEOUT_S: Final = 1.0
+# A connection is not used in the last part of the server's idle limit, since
+# the server may close it while the request is under way.
+IDLE_MARGIN_S: Final = 1.0
+# Answers to earlier requests that may precede the one that is waited for.
+MAX_FOREIGN_ANSWERS: Final = 2
+UNKNOWN_LOAD: Final = LoadReport('', ServerState.COLD, 0, 1)
 
-_LOAD_REQUEST: Final = Content('GET', fields.LOAD_TARGET, (), b'')
 _HEADER_BREAK: Final = re.compile(r'[\r\n\0]')
 
 
@@ -43,14 +50,16 @@
         *,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        host: str,
-        load: LoadReport,
+        server: BackendServer,
+        dialect: BackendDialect,
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._host = host
-        self._load = load
+        self._server = server
+        self._dialect = dialect
+        self._load = UNKNOWN_LOAD
         self._is_idle = True
+        self._idle_until: float | None = None
 
     @property
     def load(self) -> LoadReport:
@@ -64,12 +73,28 @@
             self._is_idle
             and not self._writer.is_closing()
             and not self._reader.at_eof()
+            and (
+                self._idle_until is None
+                or asyncio.get_running_loop().time() < self._idle_until
+            )
         )
 
     def close(self) -> None:
         """Close; the server cancels what was in flight."""
         self._writer.close()
 
+    async def check(
+        self, *, deadline: float
+    ) -> Result[LoadReport, ExchangeFailure]:
+        """Ask the server for its load; nothing runs there."""
+        asked = await self.exchange(
+            content=self._dialect.load_check(server=self._server),
+            deadline=deadline,
+        )
+        if asked.is_error():
+            return Error(asked.error._replace(verdict=Verdict.DID_NOT_RUN))
+        return Ok(self._load)
+
     async def exchange(
         self, *, content: Content, deadline: float
     ) -> Result[Answer, ExchangeFailure]:
@@ -103,7 +128,7 @@
         try:
             async with asyncio.timeout_at(deadline):
                 self._writer.write(head + content.body)
-                result = await self._read_answer(content.method)
+                result = await self._read_answer(content)
         except TimeoutError:
             return Error(
                 ExchangeFailure(
@@ -130,13 +155,14 @@
     def _encode(self, content: Content, deadline: float) -> bytes | None:
         """Head of the request; None if it is not one head of HTTP."""
         remaining = deadline - asyncio.get_running_loop().time()
-        lines = [
-            f'{content.method} {content.target} HTTP/1.1',
-            f'Host: {self._host}',
-            f'{fields.DEADLINE}: {max(1, int(remaining * 1000))}',
-            f'Content-Length: {len(content.body)}',
+        lines = [f'{content.method} {content.target} HTTP/1.1']
+        lines += [
+            f'{name}: {value}'
+            for name, value in self._dialect.request_fields(
+                server=self._server, content=content, remaining=remaining
+            )
         ]
-        lines += [f'{name}: {value}' for name, value in content.headers]
+        lines.append(f'Content-Length: {len(content.body)}')
         if any(_HEADER_BREAK.search(line) for line in lines):
             return None
         head = '\r\n'.join(lines) + '\r\n\r\n'
@@ -144,18 +170,60 @@
         return head.encode('utf-8', 'surrogateescape')
 
     async def _read_answer(
-        self, method: str
+        self, content: Content
     ) -> Result[Answer, ExchangeFailure]:
+        """Read until the answer to `content`.
+
+        A late answer to an earlier request may come first; it belongs to
+        no request any more.
+        """
+        rest = b''
+        for _ in range(MAX_FOREIGN_ANSWERS + 1):
+            parsed = await self._read_one(content.method, rest)
+            if parsed.is_error():
+                return Error(parsed.error)
+            answer = parsed.ok
+            read = self._dialect.read(
+                server=self._server, content=content, answer=answer
+            )
+            remaining = answer.rest
+            if not read.is_foreign or remaining is None:
+                break
+            rest = remaining
+        # An answer to a request that was not sent whole ends the connection.
+        unsent = self._writer.transport.get_write_buffer_size()
+        self._is_idle = answer.is_reusable and unsent == 0
+        if read.idle_limit is not None:
+            now = asyncio.get_running_loop().time()
+            self._idle_until = now + max(0.0, read.idle_limit - IDLE_MARGIN_S)
+        if read.load is not None:
+            self._load = read.load
+        if read.failure is not None:
+            if read.failure.verdict is not Verdict.DID_NOT_RUN:
+                self._is_idle = False
+            return Error(read.failure)
+        return Ok(
+            Answer(
+                answer.status,
+                self._dialect.answer_fields(answer=answer),
+                answer.body,
+                read.load,
+            )
+        )
+
+    async def _read_one(
+        self, method: str, data: bytes
+    ) -> Result[AnswerParser, ExchangeFailure]:
         """Read while the transport sends what is left of the request.
 
         A server may answer, and close, before it has read a large body.
         """
         answer = AnswerParser(method=method)
-        while not answer.is_complete:
-            data = await self._reader.read(READ_BYTES)
-            if not data:
-                return Error(_cut_short(answer))
-            answer.feed(data)
+        while True:
+            if data:
+                answer.feed(data)
+            if answer.is_complete:
+                return Ok(answer)
             if answer.is_too_large:
                 return Error(
                     ExchangeFailure(
@@ -164,25 +232,11 @@
                         f'answer exceeds {MAX_ANSWER_BYTES} bytes',
                     )
                 )
-        # An answer to a request that was not sent whole ends the connection.
-        unsent = self._writer.transport.get_write_buffer_size()
-        self._is_idle = answer.is_reusable and unsent == 0
-        report = fields.decode_load(answer.field(fields.BACKEND_LOAD) or '')
-        if report is not None:
-            self._load = report
-        if answer.field(fields.BACKEND_VERDICT) == Verdict.DID_NOT_RUN:
-            draining = report is not None and report.state == 'draining'
-            return Error(
-                ExchangeFailure(
-                    FailureKind.DRAINING if draining else FailureKind.SHED,
-                    Verdict.DID_NOT_RUN,
-                    f'backend server answered {answer.status}: not run',
-                    report,
-                )
-            )
-        return Ok(
-            Answer(answer.status, answer.forwarded(), answer.body, report)
-        )
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                if self._dialect.accepts_unframed and answer.is_unframed:
+                    return Ok(answer)
+                return Error(_cut_short(answer))
 
 
 def _cut_short(answer: AnswerParser) -> ExchangeFailure:
@@ -201,28 +255,23 @@
 class HttpConnector:
     """Opens connections and reads the load report on each."""
 
+    def __init__(self, *, dialect: BackendDialect | None = None) -> None:
+        self._dialect = dialect or OwnDialect()
+
     async def connect(
         self, *, server: BackendServer, deadline: float
     ) -> Result[BackendConnection, ExchangeFailure]:
         """Connect within the deadline and `CONNECT_TIMEOUT_S`."""
-        host, _, port = server.address.rpartition(':')
+        opened = await self.open(server=server, deadline=deadline)
+        if opened.is_error():
+            return Error(opened.error)
+        connection = opened.ok
+        if not self._dialect.reads_load_first:
+            return Ok(connection)
         loop = asyncio.get_running_loop()
         limit = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
         try:
-            async with asyncio.timeout_at(limit):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError) as error:
-            return Error(_connect_failure(server, str(error) or 'timeout'))
-        connection = HttpConnection(
-            reader=reader,
-            writer=writer,
-            host=server.address,
-            load=LoadReport('', ServerState.COLD, 0, 1),
-        )
-        try:
-            asked = await connection.exchange(
-                content=_LOAD_REQUEST, deadline=limit
-            )
+            asked = await connection.check(deadline=limit)
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -231,6 +280,50 @@
             return Error(_connect_failure(server, 'no load report'))
         return Ok(connection)
 
+    async def open(
+        self, *, server: BackendServer, deadline: float
+    ) -> Result[HttpConnection, ExchangeFailure]:
+        """Connect without a load report."""
+        host, _, port = server.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        limit = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
+        try:
+            async with asyncio.timeout_at(limit):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            return Error(_connect_failure(server, str(error) or 'timeout'))
+        _keep_alive(writer)
+        return Ok(
+            HttpConnection(
+                reader=reader,
+                writer=writer,
+                server=server,
+                dialect=self._dialect,
+            )
+        )
+
+
+# Probes of a silent connection, so that a lost path is noticed in about 3 s.
+KEEP_ALIVE_IDLE_S: Final = 1
+KEEP_ALIVE_INTERVAL_S: Final = 1
+KEEP_ALIVE_PROBES: Final = 2
+UNACKNOWLEDGED_MS: Final = 2500
+
+
+def _keep_alive(writer: asyncio.StreamWriter) -> None:
+    """Notice a path that drops everything."""
+    found = writer.get_extra_info('socket')
+    if found is None:
+        return
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        found.setsockopt(socket.IPPROTO_TCP, option, value)
+
 
 def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
     return ExchangeFailure(
--- a/src/teaselrock/transport/operators.py
+++ b/src/teaselrock/transport/operators.py
@@ -18,6 +18,7 @@
 STOP_TIMEOUT_S: Final = 1
 # Idle connections of scrapers are closed after this time.
 IDLE_TIMEOUT_S: Final = 10
+READY_PATH: Final = '/readyz'
 
 _TEXT: Final = 'text/plain; charset=utf-8'
 _METRICS: Final = 'text/plain; version=0.0.4; charset=utf-8'
@@ -48,9 +49,15 @@
     """HTTP server for operators; `start` binds, `stop` waits for the end."""
 
     def __init__(
-        self, *, host: str, port: int, source: OperatorsSource
+        self,
+        *,
+        host: str,
+        port: int,
+        source: OperatorsSource,
+        ready_path: str = READY_PATH,
     ) -> None:
         self._source = source
+        self._ready_path = ready_path
         self._server = cheroot.wsgi.Server(
             (host, port),
             self._serve,
@@ -98,7 +105,7 @@
             return _Page('405 Method Not Allowed', _TEXT, b'use GET\n')
         if path == '/healthz':
             return _check(source.is_alive())
-        if path == '/readyz':
+        if path == self._ready_path:
             return _check(source.is_ready())
         if path == '/metrics':
             return _Page('200 OK', _METRICS, source.metrics())
--- /dev/null
+++ b/src/teaselrock/transport/routed_front.py
@@ -0,0 +1,201 @@
+"""Front end of routed requests: from a parsed request to its answer.
+
+Matches the route, sets the deadline and hands the request to the
+`Dispatcher`. A `CallerDialect` knows the header fields; `caller_connection`
+reads and writes the messages.
+"""
+
+import asyncio
+from typing import Final
+from typing import NamedTuple
+from typing import Protocol
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from teaselrock.coordination.dispatch import Dispatcher
+from teaselrock.coordination.events import NoEvents
+from teaselrock.coordination.events import RequestObserver
+from teaselrock.coordination.registry import InstallationView
+from teaselrock.coordination.registry import RouteShares
+from teaselrock.protocol import fields
+from teaselrock.protocol import problem
+from teaselrock.state import Answer
+from teaselrock.state import Content
+from teaselrock.state import Refusal
+from teaselrock.state import RefusalCode
+from teaselrock.state import Request
+from teaselrock.state import Verdict
+from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.caller_connection import CallerAnswer
+from teaselrock.transport.requests import CallerRequest
+from teaselrock.transport.requests import RequestProblem
+
+# The answer has to leave this long before the deadline.
+ANSWER_MARGIN_S: Final = 0.01
+UNKNOWN_DEADLINE_S: Final = 60.0
+RETRY_AFTER_S: Final = 0.3
+CALLER_GONE: Final = 'caller-gone'
+# Statuses of refusals that did not run; others tell nothing of execution.
+_DID_NOT_RUN_STATUS: Final = 503
+_MAY_HAVE_RUN_STATUS: Final = {RefusalCode.DEADLINE_EXCEEDED: 504}
+
+
+class CallerFields(NamedTuple):
+    """What a caller says about its request; `remaining` is in seconds."""
+
+    request_id: str
+    remaining: float | None
+
+
+class CallerDialect(Protocol):
+    """Fields between callers and gateways."""
+
+    @property
+    def not_forwarded(self) -> frozenset[str]:
+        """Lower-case names of fields that stop at the gateway."""
+        ...
+
+    def read(self, request: CallerRequest) -> CallerFields:
+        """Fields of a request."""
+        ...
+
+    def refusal_fields(
+        self, *, request_id: str
+    ) -> tuple[tuple[str, str], ...]:
+        """Fields of a refusal."""
+        ...
+
+
+class RoutedFront:
+    """`RequestService` of one instance."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        view: InstallationView,
+        shares: RouteShares,
+        dialect: CallerDialect,
+        observer: RequestObserver = NoEvents(),
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._view = view
+        self._shares = shares
+        self._dialect = dialect
+        self._observer = observer
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits of the routing table in force."""
+        return self._view.table.limits
+
+    def may_pipeline(self, request: CallerRequest) -> bool:
+        """Whether the request is idempotent or will not run."""
+        route = self._view.index.match(
+            host=request.field('host') or '', target=request.target
+        )
+        return route is None or route.is_idempotent
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """Serve one request."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        caller = self._dialect.read(request)
+        parsed = self._parse(request, caller)
+        service = parsed.ok.service if parsed.is_ok() else ''
+        verdict, code = Verdict.MAY_HAVE_RUN.value, CALLER_GONE
+        try:
+            if parsed.is_ok():
+                result = await self._dispatcher.dispatch(request=parsed.ok)
+            else:
+                result = Error(parsed.error)
+            verdict, code = _outcome(result)
+        finally:
+            self._observer.on_request(
+                customer='',
+                service=service,
+                seconds=loop.time() - started,
+                verdict=verdict,
+                code=code,
+            )
+        if result.is_ok():
+            answer = result.ok
+            return CallerAnswer(answer.status, answer.headers, answer.body)
+        return self._refusal(result.error, caller.request_id)
+
+    def problem(self, problem: RequestProblem) -> CallerAnswer:
+        """Answer to a request that could not be read."""
+        return CallerAnswer(
+            problem.status,
+            (('Content-Type', 'text/plain; charset=utf-8'),),
+            f'{problem}\n'.encode(),
+        )
+
+    def _parse(
+        self, http: CallerRequest, caller: CallerFields
+    ) -> Result[Request, Refusal]:
+        if not self._view.is_complete:
+            return Error(
+                _refuse(RefusalCode.INSTANCE_NOT_READY, 'no configuration yet')
+            )
+        route = self._view.index.match(
+            host=http.field('host') or '', target=http.target
+        )
+        if route is None:
+            return Error(
+                _refuse(RefusalCode.UNKNOWN_SERVICE, 'no route matches')
+            )
+        now = asyncio.get_running_loop().time()
+        remaining = route.timeout
+        if caller.remaining is not None:
+            remaining = min(remaining, caller.remaining)
+        return Ok(
+            Request(
+                customer='',
+                service=self._shares.choose(route),
+                content=Content(
+                    http.method,
+                    http.target,
+                    fields.forwarded(
+                        http.headers, self._dialect.not_forwarded
+                    ),
+                    http.body,
+                ),
+                deadline=now + remaining - ANSWER_MARGIN_S,
+                request_id=caller.request_id,
+                route=route,
+            )
+        )
+
+    def _refusal(self, refusal: Refusal, request_id: str) -> CallerAnswer:
+        status = _status(refusal)
+        headers = [
+            ('Content-Type', problem.CONTENT_TYPE),
+            *self._dialect.refusal_fields(request_id=request_id),
+        ]
+        if status == _DID_NOT_RUN_STATUS:
+            delay = refusal.retry_after or RETRY_AFTER_S
+            headers.append(('Retry-After', f'{delay:.2f}'))
+        return CallerAnswer(status, tuple(headers), problem.body(refusal))
+
+
+def _status(refusal: Refusal) -> int:
+    """HTTP status; 503 only if the request did not run."""
+    if refusal.code in (RefusalCode.UNKNOWN_SERVICE, RefusalCode.BAD_REQUEST):
+        return problem.HTTP_STATUS[refusal.code]
+    if refusal.verdict is Verdict.DID_NOT_RUN:
+        return _DID_NOT_RUN_STATUS
+    return _MAY_HAVE_RUN_STATUS.get(refusal.code, 502)
+
+
+def _refuse(code: RefusalCode, detail: str) -> Refusal:
+    return Refusal(code, Verdict.DID_NOT_RUN, detail, RETRY_AFTER_S)
+
+
+def _outcome(result: Result[Answer, Refusal]) -> tuple[str, str]:
+    """Verdict and code for the observer."""
+    if result.is_ok():
+        return Verdict.RAN.value, ''
+    return result.error.verdict.value, result.error.code.value
