--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -23,13 +23,13 @@
 
 T = TypeVar('T')
 
-# A waiting call counts as one call, so it waits long; TCP keep-alive notices
-# a dead path earlier.
-WAIT_S: Final = 20.0
+# A waiting call can be lost without a sign, for example while the store is
+# silent; it is renewed often enough to be in step 3 s after the store is back.
+WAIT_S: Final = 2.2
 # Changes within this time are fetched by one call.
 BATCH_S: Final = 0.2
 RETRY_MIN_S: Final = 0.25
-RETRY_MAX_S: Final = 1.5
+RETRY_MAX_S: Final = 0.8
 # Servers that live register again within about 2 s of the store's return.
 LAPSE_GRACE_S: Final = 2.5
 
--- a/src/teaselrock/coordination/registry/view.py
+++ b/src/teaselrock/coordination/registry/view.py
@@ -84,7 +84,7 @@
         return (
             known is not None
             and not known.leaving
-            and known.started == server.started
+            and known.address == server.address
             and known.zone.name not in self._zones_out
         )
 
--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -141,8 +141,6 @@
             ports=self._ports(),
         )
         self._metrics.watch(
-            version=lambda: self._instance.directory.version,
-            is_ready=lambda: self._instance.directory.is_ready,
             directory=self._instance.directory,
             in_flight=lambda: self._instance.dispatcher.in_flight,
             read=lambda: readings.read(self._instance),
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -190,27 +190,22 @@
     def watch(
         self,
         *,
-        version: Callable[[], int],
-        is_ready: Callable[[], bool],
+        directory: Directory,
         in_flight: Callable[[], int],
-        directory: Directory | None = None,
-        read: Callable[[], Readings] | None = None,
+        read: Callable[[], Readings] = Readings,
     ) -> None:
-        """Measure an instance; the callables run in other threads.
-
-        `directory` names the customers, `read` gives the parts' metrics.
-        """
+        """Measure an instance; the callables run in other threads."""
         self._directory = directory
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             (
                 'teaselrock_configuration_version',
                 'Version of the configuration in force.',
-                version,
+                lambda: directory.version,
             ),
             (
                 'teaselrock_ready',
                 '1 if the instance accepts new work.',
-                is_ready,
+                lambda: directory.is_ready,
             ),
             (
                 'teaselrock_requests_in_flight',
@@ -220,8 +215,7 @@
         )
         for name, text, value in gauges:
             Gauge(name, text, registry=self._registry).set_function(value)
-        if read is not None:
-            self._registry.register(_PartsCollector(read=read))
+        self._registry.register(_PartsCollector(read=read))
 
     def exposition(self) -> bytes:
         """All metrics in the Prometheus text format."""
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
 import os
 import pathlib
 import random
@@ -14,6 +16,7 @@
 
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import RosterEntry
+from teaselrock.coordination.registry import InstallationView
 from teaselrock.coordination.registry import RouteShares
 from teaselrock.coordination.routed import BudgetBounds
 from teaselrock.coordination.routed_instance import RoutedInstance
@@ -27,6 +30,7 @@
 from teaselrock.platform import store
 from teaselrock.platform.settings import ProcessSettings
 from teaselrock.state import BackendServer
+from teaselrock.state.configuration import Document
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_connection import CallerPort
 from teaselrock.transport.operators import OperatorsEndpoint
@@ -44,6 +48,43 @@
 SETTINGS_POLL_S: Final = 2.0
 
 
+class _MeasuredView:
+    """The view as `GatewayMetrics` reads it; it names no customers."""
+
+    def __init__(
+        self, *, view: InstallationView, is_ready: Callable[[], bool]
+    ) -> None:
+        self._view = view
+        self._is_ready = is_ready
+        self._document: Document = {
+            'customers': {},
+            'plans': {},
+            'services': {},
+            'out_zones': {},
+            'out_instances': {},
+            'out_servers': {},
+        }
+
+    @property
+    def version(self) -> int:
+        """Version of the routing table in force."""
+        return self._view.table.version
+
+    @property
+    def document(self) -> Document:
+        """An empty document."""
+        return self._document
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance takes new connections."""
+        return self._is_ready()
+
+    def backend_servers(self, *, service: str) -> Sequence[BackendServer]:
+        """Servers that may get new work."""
+        return self._view.backend_servers(service=service)
+
+
 class PlatformGateway:
     """One gateway instance on the platform."""
 
@@ -68,8 +109,7 @@
         self._instance = self._make_instance()
         view = self._instance.view
         self._metrics.watch(
-            version=lambda: view.table.version,
-            is_ready=lambda: self.is_ready,
+            directory=_MeasuredView(view=view, is_ready=lambda: self.is_ready),
             in_flight=lambda: self._instance.dispatcher.in_flight,
         )
         self._port = CallerPort(
--- a/src/teaselrock/platform/documents.py
+++ b/src/teaselrock/platform/documents.py
@@ -98,13 +98,13 @@
     """A backend server's own registration.
 
     Anyone may write to that kind, so each field is checked. `cold_left_ms`
-    is left out: it is as old as the entry, and load checks tell it afresh.
+    and `born` are left out: they are as old as the entry, and load checks on
+    new connections tell of a restart and of a cold start afresh.
     """
     try:
         zone = _text(spec['zone'])
         state = _text(spec['state'])
         slots = spec['slots']
-        started = spec.get('born', 0)
         address = _text(spec['address'])
         _, colon, port = address.rpartition(':')
         is_valid = (
@@ -113,7 +113,6 @@
             and isinstance(slots, int)
             and not isinstance(slots, bool)
             and slots > 0
-            and isinstance(started, int)
             and bool(colon)
             and 0 < int(port) < 65536
         )
@@ -126,7 +125,6 @@
             address=address,
             concurrency=slots,
             leaving=state == 'draining',
-            started=started,
         )
     except _BROKEN:
         return None
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -42,9 +42,9 @@
 
 T = TypeVar('T')
 
-CALL_TIMEOUT_S: Final = 2.0
+CALL_TIMEOUT_S: Final = 1.0
 # A waiting call may be answered this much after its wait.
-WAIT_MARGIN_S: Final = 2.0
+WAIT_MARGIN_S: Final = 0.6
 MAX_WAIT_MS: Final = 30_000
 MAX_IDLE: Final = 2
 # Kinds of objects; the last one is teaselrock's own.
--- a/src/teaselrock/state/topology.py
+++ b/src/teaselrock/state/topology.py
@@ -29,8 +29,7 @@
     """A backend server of one service.
 
     `concurrency` is the number of concurrent requests that it bears when
-    warm; `address` is `host:port`. `started` tells starts under the same id
-    apart: the Unix time of the start in milliseconds, 0 if unknown.
+    warm; `address` is `host:port`.
     """
 
     server_id: str
@@ -39,7 +38,6 @@
     address: str
     concurrency: int
     leaving: bool = False
-    started: int = 0
 
 
 class Instance(NamedTuple):
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -222,8 +222,6 @@
         while True:
             if data:
                 answer.feed(data)
-            if answer.is_complete:
-                return Ok(answer)
             if answer.is_too_large:
                 return Error(
                     ExchangeFailure(
@@ -232,6 +230,8 @@
                         f'answer exceeds {MAX_ANSWER_BYTES} bytes',
                     )
                 )
+            if answer.is_complete:
+                return Ok(answer)
             data = await self._reader.read(READ_BYTES)
             if not data:
                 if self._dialect.accepts_unframed and answer.is_unframed:
