--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -28,6 +28,8 @@
 WAIT_S: Final = 2.2
 # Changes within this time are fetched by one call.
 BATCH_S: Final = 0.2
+# Wait of a call after a failed one, which shows whether the store answers.
+PROBE_WAIT_S: Final = 0.2
 RETRY_MIN_S: Final = 0.25
 RETRY_MAX_S: Final = 0.8
 # Servers that live register again within about 2 s of the store's return.
@@ -69,10 +71,11 @@
         revision: int | None = None
         delay = RETRY_MIN_S
         while True:
+            wait = WAIT_S if self.is_connected else PROBE_WAIT_S
             result = (
                 await self._source.list_all()
                 if revision is None
-                else await self._source.changes(after=revision, wait=WAIT_S)
+                else await self._source.changes(after=revision, wait=wait)
             )
             if result.is_error():
                 if result.error.kind is StoreErrorKind.HISTORY_LOST:
@@ -224,8 +227,9 @@
         loop = asyncio.get_running_loop()
         if server_id in self._lapsed:
             return
+        known = self._view.server(server_id)
         grace = self._servers.regained_at + LAPSE_GRACE_S - loop.time()
-        if grace <= 0:
+        if grace <= 0 or known is None or known.leaving:
             self._remove(server_id)
             return
         self._lapsed[server_id] = loop.call_later(
