Let one instance of a region watch the store for the others

The first instance by rendezvous rank watches and passes changes on over TCP; the others take over in the order of their ranks.

--- a/src/teaselrock/coordination/ports/__init__.py
+++ b/src/teaselrock/coordination/ports/__init__.py
@@ -30,6 +30,8 @@
 from teaselrock.coordination.ports.registry import Entry
 from teaselrock.coordination.ports.registry import Listing
 from teaselrock.coordination.ports.registry import ObjectSource
+from teaselrock.coordination.ports.registry import RelayChannel
+from teaselrock.coordination.ports.registry import RelayLink
 from teaselrock.coordination.ports.registry import Roster
 from teaselrock.coordination.ports.registry import RosterEntry
 
@@ -56,6 +58,8 @@
     'Permission',
     'PlatformList',
     'Readiness',
+    'RelayChannel',
+    'RelayLink',
     'ReportRow',
     'ReportWriter',
     'Roster',
--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -4,6 +4,8 @@
 implements them decodes the store's format.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Generic
 from typing import NamedTuple
 from typing import Protocol
@@ -69,3 +71,40 @@
     async def read(self) -> Result[tuple[RosterEntry, ...], StoreError]:
         """Read all entries; they may be seconds old."""
         ...
+
+
+class RelayChannel(Protocol):
+    """Connection between two instances of a region."""
+
+    def send(self, message: NamedTuple) -> bool:
+        """Queue a message; False if the connection is closed or stuck."""
+        ...
+
+    async def receive(self) -> NamedTuple | None:
+        """Wait for the next message, None at the end."""
+        ...
+
+    def close(self) -> None:
+        """Close the connection."""
+        ...
+
+
+class RelayLink(Protocol):
+    """Opens and accepts connections between instances."""
+
+    async def connect(self, *, address: str) -> RelayChannel | None:
+        """Connect to an instance, None if it cannot be reached."""
+        ...
+
+    async def serve(
+        self, *, on_channel: Callable[[RelayChannel], Awaitable[None]]
+    ) -> None:
+        """Accept connections; each runs in a task of its own.
+
+        Raises `OSError` if the address cannot be bound.
+        """
+        ...
+
+    def close(self) -> None:
+        """Close the port and all connections."""
+        ...
--- a/src/teaselrock/coordination/registry/__init__.py
+++ b/src/teaselrock/coordination/registry/__init__.py
@@ -2,14 +2,20 @@
 
 from teaselrock.coordination.registry.matching import RouteIndex
 from teaselrock.coordination.registry.matching import RouteShares
+from teaselrock.coordination.registry.relay import RegionRelay
 from teaselrock.coordination.registry.sync import InstallationSync
-from teaselrock.coordination.registry.sync import KindSync
 from teaselrock.coordination.registry.view import InstallationView
+from teaselrock.coordination.registry.watch import KindWatch
+from teaselrock.coordination.registry.watch import StoreContact
+from teaselrock.coordination.registry.watch import StoreWatch
 
 __all__ = (
     'InstallationSync',
     'InstallationView',
-    'KindSync',
+    'KindWatch',
+    'RegionRelay',
     'RouteIndex',
     'RouteShares',
+    'StoreContact',
+    'StoreWatch',
 )
--- /dev/null
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -0,0 +1,170 @@
+"""Follows the store: one task for each kind of object.
+
+`relay` starts and stops it, since only a few instances of a region watch.
+"""
+
+import asyncio
+import random
+from typing import Any
+from typing import Final
+from typing import Generic
+from typing import TypeVar
+
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.events import Events
+from teaselrock.coordination.ports import ObjectSource
+from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.coordination.registry.mirror import Change
+from teaselrock.coordination.registry.mirror import Mirror
+from teaselrock.coordination.registry.mirror import UNKNOWN
+
+T = TypeVar('T')
+
+# A waiting call can be lost without a sign, for example while the store is
+# silent; it is renewed often enough to be in step 3 s after the store is back.
+WAIT_S: Final = 2.2
+# Changes within this time are fetched by one call.
+BATCH_S: Final = 0.2
+# Wait of a call after a failed one, which shows whether the store answers.
+PROBE_WAIT_S: Final = 0.2
+RETRY_MIN_S: Final = 0.25
+RETRY_MAX_S: Final = 0.8
+
+
+class StoreContact:
+    """Whether the store answers; shared by the kinds of one instance.
+
+    After a failure one kind at a time tries again, because calls to a store
+    that is down are priced like others.
+    """
+
+    def __init__(self, *, events: Events) -> None:
+        self._events = events
+        self._lost_at: float | None = None
+        self._regained_at = float('-inf')
+        self._turn = asyncio.Lock()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last call succeeded."""
+        return self._lost_at is None
+
+    @property
+    def regained_at(self) -> float:
+        """When the store answered again, on the loop's clock."""
+        return self._regained_at
+
+    @property
+    def turn(self) -> asyncio.Lock:
+        """Held by the kind that tries again."""
+        return self._turn
+
+    def note_lost(self, *, kind: str, detail: str) -> None:
+        """A call failed."""
+        if self._lost_at is None:
+            self._lost_at = asyncio.get_running_loop().time()
+            self._events.emit(event=Event.STORE_LOST, kind=kind, detail=detail)
+
+    def note_contact(self, *, kind: str) -> None:
+        """A call succeeded."""
+        if self._lost_at is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._events.emit(
+            event=Event.STORE_REGAINED,
+            kind=kind,
+            seconds=round(now - self._lost_at, 3),
+        )
+        self._lost_at = None
+        self._regained_at = now
+
+
+class KindWatch(Generic[T]):
+    """Follows the objects of one kind into a mirror."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        source: ObjectSource[T],
+        mirror: Mirror[T],
+        contact: StoreContact,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._source = source
+        self._mirror = mirror
+        self._contact = contact
+        self._rng = rng
+        self._must_list = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if await self._step(WAIT_S):
+                continue
+            delay = RETRY_MIN_S
+            async with self._contact.turn:
+                while not self._contact.is_connected:
+                    await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
+                    delay = min(RETRY_MAX_S, delay * 2)
+                    if await self._step(PROBE_WAIT_S):
+                        break
+
+    async def _step(self, wait: float) -> bool:
+        """Make one call; False if the store did not answer."""
+        after = self._mirror.revision
+        if after == UNKNOWN or self._must_list:
+            result = await self._source.list_all()
+            after = UNKNOWN
+        else:
+            result = await self._source.changes(after=after, wait=wait)
+        if result.is_error():
+            if result.error.kind is StoreErrorKind.HISTORY_LOST:
+                self._must_list = True
+                return True
+            self._contact.note_lost(
+                kind=self._name, detail=result.error.detail
+            )
+            return False
+        self._contact.note_contact(kind=self._name)
+        self._must_list = False
+        self._mirror.apply(Change(after, result.ok))
+        if result.ok.entries and after != UNKNOWN:
+            await asyncio.sleep(BATCH_S)
+        return True
+
+
+class StoreWatch:
+    """The watches of all kinds, started and stopped together."""
+
+    def __init__(
+        self, *, watches: tuple[KindWatch[Any], ...], contact: StoreContact
+    ) -> None:
+        self._watches = watches
+        self._contact = contact
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def is_running(self) -> bool:
+        """Whether this instance watches the store."""
+        return bool(self._tasks)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether this instance watches and the store answers."""
+        return self.is_running and self._contact.is_connected
+
+    def start(self) -> None:
+        """Start to watch; a running watch is left alone."""
+        if not self._tasks:
+            self._tasks = [
+                asyncio.create_task(watch.run()) for watch in self._watches
+            ]
+
+    async def stop(self) -> None:
+        """End the tasks."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -19,10 +19,15 @@
 from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import BackendConnector
 from teaselrock.coordination.ports import ObjectSource
+from teaselrock.coordination.ports import RelayLink
 from teaselrock.coordination.ports import Roster
 from teaselrock.coordination.ports import RosterEntry
 from teaselrock.coordination.registry import InstallationSync
 from teaselrock.coordination.registry import InstallationView
+from teaselrock.coordination.registry import KindWatch
+from teaselrock.coordination.registry import RegionRelay
+from teaselrock.coordination.registry import StoreContact
+from teaselrock.coordination.registry import StoreWatch
 from teaselrock.coordination.reporting.logged import LoggedReport
 from teaselrock.coordination.routed import BudgetBounds
 from teaselrock.coordination.routed import RouteAdmission
@@ -36,7 +41,9 @@
 # Idle connections to one server; all instances share the server's limit.
 MAX_IDLE: Final = 8
 # The roster changes with added instances only; its reads are priced.
-ROSTER_PERIOD_S: Final = 10.0
+ROSTER_PERIOD_S: Final = 15.0
+# Instances that start together register within a few seconds.
+ROSTER_PAUSES_S: Final = (0.7, 1.5, 4.0)
 ROSTER_RETRY_S: Final = 1.0
 
 
@@ -48,6 +55,7 @@
     servers: ObjectSource[BackendServer]
     zones_out: ObjectSource[str]
     roster: Roster
+    link: RelayLink
     events: Events
 
 
@@ -80,13 +88,16 @@
         self._roster = ports.roster
         self._rng = rng
         self._view = InstallationView()
+        contact = StoreContact(events=ports.events)
         self._sync = InstallationSync(
-            view=self._view,
-            tables=ports.tables,
-            servers=ports.servers,
-            zones_out=ports.zones_out,
+            view=self._view, contact=contact, events=ports.events
+        )
+        self._relay = RegionRelay(
+            own=own,
+            link=ports.link,
+            sync=self._sync,
+            watch=self._make_watch(ports, contact),
             events=ports.events,
-            rng=random.Random(rng.getrandbits(64)),
         )
         self._connections = ConnectionPool(
             connector=ports.connector, max_idle=MAX_IDLE
@@ -134,18 +145,13 @@
         """Routes, servers and zones as this instance knows them."""
         return self._view
 
-    @property
-    def sync(self) -> InstallationSync:
-        """What keeps the view in step."""
-        return self._sync
-
     def set_cold_bounds(self, *, overshoot: float, slack: float) -> None:
         """Change what cold servers bear; see `RoutedOptions`."""
         self._cold.set_bounds(overshoot=overshoot, slack=slack)
 
     async def start(self) -> None:
         """Start the tasks of the parts; returns when they run."""
-        self._sync.start()
+        await self._relay.start()
         self._roster_task = asyncio.create_task(self._follow_roster())
 
     async def stop(self) -> None:
@@ -154,15 +160,54 @@
         if self._roster_task is not None:
             self._roster_task.cancel()
             await asyncio.gather(self._roster_task, return_exceptions=True)
-        await self._sync.stop()
+        await self._relay.stop()
+        self._sync.stop()
         await self._connections.close()
 
+    def _make_watch(
+        self, ports: RoutedPorts, contact: StoreContact
+    ) -> StoreWatch:
+        rng = self._rng
+        return StoreWatch(
+            watches=(
+                KindWatch(
+                    name='routes',
+                    source=ports.tables,
+                    mirror=self._sync.tables,
+                    contact=contact,
+                    rng=rng,
+                ),
+                KindWatch(
+                    name='servers',
+                    source=ports.servers,
+                    mirror=self._sync.servers,
+                    contact=contact,
+                    rng=rng,
+                ),
+                KindWatch(
+                    name='zones-out',
+                    source=ports.zones_out,
+                    mirror=self._sync.zones_out,
+                    contact=contact,
+                    rng=rng,
+                ),
+            ),
+            contact=contact,
+        )
+
     async def _follow_roster(self) -> None:
-        """Register once, then read the roster from time to time."""
+        """Register once, then read the roster from time to time.
+
+        Without a roster this instance relies on no other one.
+        """
         while (await self._roster.register(entry=self._own)).is_error():
+            self._relay.set_roster(())
             await asyncio.sleep(ROSTER_RETRY_S * self._rng.uniform(0.5, 1.5))
+        pauses = iter(ROSTER_PAUSES_S)
         while True:
             read = await self._roster.read()
             if read.is_ok():
                 self._cold.set_roster(read.ok)
-            await asyncio.sleep(ROSTER_PERIOD_S * self._rng.uniform(0.8, 1.2))
+            self._relay.set_roster(read.ok if read.is_ok() else ())
+            pause = next(pauses, ROSTER_PERIOD_S)
+            await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -35,6 +35,7 @@
 from teaselrock.transport.caller_connection import CallerPort
 from teaselrock.transport.operators import OperatorsEndpoint
 from teaselrock.transport.operators import OperatorsSource
+from teaselrock.transport.relay_link import StreamRelayLink
 from teaselrock.transport.routed_front import RoutedFront
 
 EXIT_OK: Final = 0
@@ -238,11 +239,19 @@
                 roster=store.StoredRoster(
                     client=self._store, events=self._events
                 ),
+                link=StreamRelayLink(
+                    host=settings.peer_host,
+                    port=settings.peer_ports[0],
+                    on_invalid=self._on_invalid_frame,
+                ),
                 events=self._events,
             ),
             options=RoutedOptions(
                 own=RosterEntry(
-                    settings.instance_id, settings.region, settings.zone
+                    settings.instance_id,
+                    settings.region,
+                    settings.zone,
+                    f'{settings.peer_host}:{settings.peer_ports[0]}',
                 ),
                 regions=frozenset(zone_regions.values()),
                 cold_overshoot=settings.bounds.cold_overshoot,
@@ -254,6 +263,10 @@
             rng=random.Random(),
         )
 
+    def _on_invalid_frame(self, detail: str) -> None:
+        self._metrics.on_invalid_frame()
+        self._events.emit(event=Event.PEER_FRAME_INVALID, detail=detail)
+
     def _health_target(self, service: str) -> str:
         profile = self._instance.view.table.services.get(service)
         if profile is None:
--- a/src/teaselrock/protocol/codec.py
+++ b/src/teaselrock/protocol/codec.py
@@ -27,7 +27,13 @@
 class MessageCodec:
     """Encodes the message types of a table from kind to type."""
 
-    def __init__(self, *, kinds: Mapping[int, type]) -> None:
+    def __init__(
+        self,
+        *,
+        kinds: Mapping[int, type],
+        max_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> None:
+        self._max_bytes = max_bytes
         self._encoder = msgspec.msgpack.Encoder()
         self._kinds = {
             message_type: kind for kind, message_type in kinds.items()
@@ -44,7 +50,7 @@
 
     def decode(self, frame: bytes) -> Result[NamedTuple, DecodeError]:
         """Decode a frame from a peer."""
-        if len(frame) > MAX_MESSAGE_BYTES:
+        if len(frame) > self._max_bytes:
             return Error(DecodeError(f'{len(frame)} bytes is too large'))
         decoder = self._decoders.get(frame[0]) if frame else None
         if decoder is None:
--- /dev/null
+++ b/src/teaselrock/protocol/relay.py
@@ -0,0 +1,22 @@
+"""Table of the kinds of messages between instances that share a watch.
+
+Separate from `messages`, so that an instance without shared slots does not
+load the parts that it does not run.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from teaselrock.coordination.registry import messages
+
+# A routing table of some thousand routes.
+MAX_RELAY_BYTES: Final = 4 * 1024 * 1024
+
+RELAY_KINDS: Final[Mapping[int, type]] = {
+    # Relay: 90 to 99.
+    90: messages.FollowRequest,
+    91: messages.WatchBeat,
+    92: messages.TablesChanged,
+    93: messages.ServersChanged,
+    94: messages.ZonesChanged,
+}
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import re
-import socket
 from typing import Final
 
 from expression import Error
@@ -29,6 +28,7 @@
 from teaselrock.transport.answers import MAX_ANSWER_BYTES
 from teaselrock.transport.dialect import BackendDialect
 from teaselrock.transport.dialect import OwnDialect
+from teaselrock.transport.sockets import keep_alive
 
 READ_BYTES: Final = 65536
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -292,7 +292,7 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError) as error:
             return Error(_connect_failure(server, str(error) or 'timeout'))
-        _keep_alive(writer)
+        keep_alive(writer)
         return Ok(
             HttpConnection(
                 reader=reader,
@@ -303,28 +303,6 @@
         )
 
 
-# Probes of a silent connection, so that a lost path is noticed in about 3 s.
-KEEP_ALIVE_IDLE_S: Final = 1
-KEEP_ALIVE_INTERVAL_S: Final = 1
-KEEP_ALIVE_PROBES: Final = 2
-UNACKNOWLEDGED_MS: Final = 2500
-
-
-def _keep_alive(writer: asyncio.StreamWriter) -> None:
-    """Notice a path that drops everything."""
-    found = writer.get_extra_info('socket')
-    if found is None:
-        return
-    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ):
-        found.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
     return ExchangeFailure(
         FailureKind.CONNECT,
