--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -80,7 +80,7 @@
         """Queue a message; False if the connection is closed or stuck."""
         ...
 
-    async def receive(self) -> NamedTuple | None:
+    async def receive(self) -> 'NamedTuple | None':
         """Wait for the next message, None at the end."""
         ...
 
--- a/src/teaselrock/transport/relay_link.py
+++ b/src/teaselrock/transport/relay_link.py
@@ -51,7 +51,7 @@
         self._writer.write(len(frame).to_bytes(_LENGTH_BYTES) + frame)
         return True
 
-    async def receive(self) -> NamedTuple | None:
+    async def receive(self) -> 'NamedTuple | None':
         """Wait for the next message, None at the end."""
         try:
             length = int.from_bytes(
