--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -208,6 +208,10 @@
             read = await self._roster.read()
             if read.is_ok():
                 self._cold.set_roster(read.ok)
-            self._relay.set_roster(read.ok if read.is_ok() else ())
             pause = next(pauses, ROSTER_PERIOD_S)
+            # At the first start of the installation, the first read shows
+            # nobody else yet; the next one decides who watches.
+            is_alone = read.is_ok() and len(read.ok) <= 1
+            if not is_alone or pause != ROSTER_PAUSES_S[0]:
+                self._relay.set_roster(read.ok if read.is_ok() else ())
             await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
