Take over a watch within 2 s when the store turns the watcher away

Ranks now follow within 0.15 s each, a new watcher counts as connected only after its first answer, and one kind renews its call every 0.7 s.

--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -33,12 +33,15 @@
 
 BEAT_S: Final = 0.25
 # A watcher whose beats stop for this time is no longer relied on.
-BEAT_TIMEOUT_S: Final = 0.7
+BEAT_TIMEOUT_S: Final = 0.6
+# A watcher that beats without the store may only have missed one call.
+OUTAGE_TIMEOUT_S: Final = 0.3
 # Time by which each rank waits longer than the one before it.
-RANK_STEP_S: Final = 0.3
+RANK_STEP_S: Final = 0.15
 # Ranks that try the store soon while watchers are alive without it; the
-# others come one by one, since calls to a store that is down are priced.
-EAGER_RANKS: Final = 3
+# others come one by one, since calls to a store that is down are priced. The
+# store may turn a third of the instances away, hardly ever the first seven.
+EAGER_RANKS: Final = 6
 SLOW_RANK_STEP_S: Final = 3.0
 # Instances that one instance follows.
 FOLLOWED: Final = 3
@@ -290,11 +293,13 @@
 
     `is_outage` tells that watchers are alive, but not connected.
     """
-    slow = max(0, rank - EAGER_RANKS) if is_outage else 0
-    fast = rank - slow
     if rank == 0:
         return 0.0
-    return BEAT_TIMEOUT_S + fast * RANK_STEP_S + slow * SLOW_RANK_STEP_S
+    if not is_outage:
+        return BEAT_TIMEOUT_S + rank * RANK_STEP_S
+    slow = max(0, rank - EAGER_RANKS)
+    eager = rank - slow
+    return OUTAGE_TIMEOUT_S + eager * RANK_STEP_S + slow * SLOW_RANK_STEP_S
 
 
 def _send(
--- a/src/teaselrock/coordination/registry/watch.py
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -23,6 +23,9 @@
 # A waiting call can be lost without a sign, for example while the store is
 # silent; it is renewed often enough to be in step 3 s after the store is back.
 WAIT_S: Final = 2.2
+# The shortest wait shows for all kinds whether the store answers: another
+# instance has to take over and pass a change on within 2 s.
+SHORT_WAIT_S: Final = 0.7
 # Changes within this time are fetched by one call.
 BATCH_S: Final = 0.2
 # Wait of a call after a failed one, which shows whether the store answers.
@@ -40,14 +43,15 @@
 
     def __init__(self, *, events: Events) -> None:
         self._events = events
-        self._lost_at: float | None = None
+        self._failing: dict[str, float] = {}
+        self._has_contact = False
         self._regained_at = float('-inf')
         self._turn = asyncio.Lock()
 
     @property
     def is_connected(self) -> bool:
-        """Whether the last call succeeded."""
-        return self._lost_at is None
+        """Whether the last call of each kind succeeded."""
+        return self._has_contact and not self._failing
 
     @property
     def regained_at(self) -> float:
@@ -59,23 +63,33 @@
         """Held by the kind that tries again."""
         return self._turn
 
+    def is_failing(self, kind: str) -> bool:
+        """Whether the last call of a kind failed."""
+        return kind in self._failing
+
+    def forget(self) -> None:
+        """Nothing is known until the next call."""
+        self._has_contact = False
+        self._failing.clear()
+
     def note_lost(self, *, kind: str, detail: str) -> None:
         """A call failed."""
-        if self._lost_at is None:
-            self._lost_at = asyncio.get_running_loop().time()
+        if kind not in self._failing:
+            self._failing[kind] = asyncio.get_running_loop().time()
             self._events.emit(event=Event.STORE_LOST, kind=kind, detail=detail)
 
     def note_contact(self, *, kind: str) -> None:
         """A call succeeded."""
-        if self._lost_at is None:
+        self._has_contact = True
+        lost_at = self._failing.pop(kind, None)
+        if lost_at is None:
             return
         now = asyncio.get_running_loop().time()
         self._events.emit(
             event=Event.STORE_REGAINED,
             kind=kind,
-            seconds=round(now - self._lost_at, 3),
+            seconds=round(now - lost_at, 3),
         )
-        self._lost_at = None
         self._regained_at = now
 
 
@@ -90,26 +104,30 @@
         mirror: Mirror[T],
         contact: StoreContact,
         rng: random.Random,
+        wait: float = WAIT_S,
     ) -> None:
         self._name = name
         self._source = source
         self._mirror = mirror
         self._contact = contact
         self._rng = rng
+        self._wait = wait
         self._must_list = False
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled; the first call is a short one."""
+        wait = PROBE_WAIT_S
         while True:
-            if await self._step(WAIT_S):
+            if await self._step(wait):
+                wait = self._wait
                 continue
+            wait = PROBE_WAIT_S
             delay = RETRY_MIN_S
             async with self._contact.turn:
-                while not self._contact.is_connected:
+                while self._contact.is_failing(self._name):
                     await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
                     delay = min(RETRY_MAX_S, delay * 2)
-                    if await self._step(PROBE_WAIT_S):
-                        break
+                    await self._step(wait)
 
     async def _step(self, wait: float) -> bool:
         """Make one call; False if the store did not answer."""
@@ -158,6 +176,7 @@
     def start(self) -> None:
         """Start to watch; a running watch is left alone."""
         if not self._tasks:
+            self._contact.forget()
             self._tasks = [
                 asyncio.create_task(watch.run()) for watch in self._watches
             ]
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -28,6 +28,7 @@
 from teaselrock.coordination.registry import RegionRelay
 from teaselrock.coordination.registry import StoreContact
 from teaselrock.coordination.registry import StoreWatch
+from teaselrock.coordination.registry.watch import SHORT_WAIT_S
 from teaselrock.coordination.reporting.logged import LoggedReport
 from teaselrock.coordination.routed import BudgetBounds
 from teaselrock.coordination.routed import RouteAdmission
@@ -176,6 +177,7 @@
                     mirror=self._sync.tables,
                     contact=contact,
                     rng=rng,
+                    wait=SHORT_WAIT_S,
                 ),
                 KindWatch(
                     name='servers',
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -44,7 +44,7 @@
 # two answers of the readiness check, which it asks for once a second.
 STOP_DELAY_S: Final = 2.5
 # Part of the stop's grace that is kept for the end of the process.
-STOP_MARGIN_S: Final = 0.5
+STOP_MARGIN_S: Final = 0.9
 # Settings may also change without a signal.
 SETTINGS_POLL_S: Final = 2.0
 
@@ -172,6 +172,7 @@
         )
         await self._instance.stop()
         self._store.close()
+        await asyncio.to_thread(self._operators.stop)
         self._events.emit(event=Event.GATEWAY_STOPPED)
         self._events.stop()
 
@@ -316,9 +317,7 @@
         sys.stderr.write(f'{path}: {problem.field}: {problem.reason}\n')
         return EXIT_REFUSED
     code: int = asyncio.run(_run(loaded.ok, path))
-    # Threads of the operators' endpoint hold nothing that must be kept.
-    sys.stdout.flush()
-    os._exit(code)
+    return code
 
 
 def main() -> int:
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -44,7 +44,7 @@
 
 CALL_TIMEOUT_S: Final = 1.0
 # A waiting call may be answered this much after its wait.
-WAIT_MARGIN_S: Final = 0.6
+WAIT_MARGIN_S: Final = 0.4
 MAX_WAIT_MS: Final = 30_000
 MAX_IDLE: Final = 2
 # Kinds of objects; the last one is teaselrock's own.
