--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -97,8 +97,10 @@
         )
 
     def _lapse(self, server_id: str) -> None:
-        """An entry disappeared: now, or after the grace that follows an
-        outage, during which live servers register again.
+        """Remove a server whose entry disappeared.
+
+        After an outage it is kept for a while, since live servers register
+        again.
         """
         loop = asyncio.get_running_loop()
         known = self._view.server(server_id)
--- a/tests/registry/test_following.py
+++ b/tests/registry/test_following.py
@@ -78,9 +78,10 @@
 def test_watchers_that_the_store_turns_away_are_replaced(
     is_silent: bool,
 ) -> None:
-    """Guards against watchers that beat but no longer hear changes: on a
-    day on which the store turned the first two instances of a region away,
-    the third one took over 2.6 s later.
+    """Guards against watchers that beat but no longer hear changes.
+
+    On a day on which the store turned the first two instances of a region
+    away, the third one took over 2.6 s later.
     """
 
     async def main() -> None:
@@ -121,8 +122,9 @@
 
 
 def test_silent_store_is_noticed_after_its_return() -> None:
-    """Guards against a lost watch that hides changes for long: on a day
-    with a silent store, routes were in step 3.6 s after its return.
+    """Guards against a lost watch that hides changes for long.
+
+    On a day with a silent store, routes were in step 3.6 s after its return.
     """
 
     async def main() -> None:
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -97,9 +97,7 @@
 
 
 def test_pipelined_requests_are_served_together_in_order() -> None:
-    """Guards against swapped answers, and against a slow first request that
-    delays the work of the next one.
-    """
+    """Guards against swapped answers and requests that wait in vain."""
 
     async def scenario(
         service: Service, port: CallerPort, client: Client
@@ -114,8 +112,9 @@
 
 
 def test_non_idempotent_request_waits_for_its_turn() -> None:
-    """Guards against a build that runs though the answer before it closes
-    the connection, after which callers send it again.
+    """Guards against a build that runs behind a closing answer.
+
+    Callers send again what they sent behind an answer that closes.
     """
 
     async def scenario(
