--- a/src/teaselrock/coordination/choice/checked.py
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -46,7 +46,7 @@
 OTHER_REGION_FACTOR: Final = 1.5
 # Other regions are asked if the near estimate is above this part of the
 # target latency.
-FAR_THRESHOLD: Final = 0.8
+FAR_THRESHOLD: Final = 1.0
 # Sends are remembered until load checks show them.
 SENDS_KEPT: Final = 32
 
@@ -179,6 +179,7 @@
             route=route,
             expected=chosen.expected,
             remaining=request.deadline - now,
+            yields=self._view.index.yields(route, service=request.service),
         )
         if refusal is not None:
             self._checks.give_back((chosen.check,))
--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -14,22 +14,31 @@
 # An estimate is uncertain; a request is refused only above this multiple of
 # the time that it has left.
 LATE_FACTOR: Final = 1.0
+# Multiple of its target latency up to which a less urgent request is sent.
+YIELDING_TARGETS: Final = 1.3
 # Noise of the servers changes within this time.
 RETRY_AFTER_S: Final = 0.3
 
 
-def late(*, route: Route, expected: float, remaining: float) -> Refusal | None:
+def late(
+    *, route: Route, expected: float, remaining: float, yields: bool
+) -> Refusal | None:
     """Refusal of a request that cannot be answered in time.
 
     `expected` is the time at the best server, `remaining` what is left
-    until the deadline, both in seconds.
+    until the deadline, both in seconds. A request that `yields` shares its
+    servers with more urgent ones; far beyond its target latency it would
+    only make those late as well.
     """
-    if expected <= LATE_FACTOR * remaining:
+    limit = LATE_FACTOR * remaining
+    if yields:
+        limit = min(limit, YIELDING_TARGETS * route.target_latency)
+    if expected <= limit:
         return None
     return Refusal(
         RefusalCode.OVERLOADED,
         Verdict.DID_NOT_RUN,
-        f'expected {expected:.3f} s, {remaining:.3f} s left',
+        f'expected {expected:.3f} s, limit {limit:.3f} s',
         retry_after=RETRY_AFTER_S,
     )
 
--- a/src/teaselrock/coordination/registry/matching.py
+++ b/src/teaselrock/coordination/registry/matching.py
@@ -17,8 +17,16 @@
 
     def __init__(self, *, table: RoutingTable) -> None:
         self._hosts: defaultdict[str, dict[str, Route]] = defaultdict(dict)
+        self._most_urgent: dict[str, int] = {}
         for route in table.routes:
             self._hosts[route.host.lower()][route.prefix] = route
+            for share in route.shares:
+                known = self._most_urgent.get(share.service, route.rank)
+                self._most_urgent[share.service] = min(known, route.rank)
+
+    def yields(self, route: Route, *, service: str) -> bool:
+        """Whether more urgent routes share the service."""
+        return route.rank > self._most_urgent.get(service, route.rank)
 
     def match(self, *, host: str, target: str) -> Route | None:
         """Route with the longest prefix of the target's path.
--- a/tests/choice/test_choice.py
+++ b/tests/choice/test_choice.py
@@ -293,6 +293,29 @@
     assert refusals.no_server(False).verdict is Verdict.DID_NOT_RUN
 
 
+def test_less_urgent_request_yields_under_load() -> None:
+    """Guards against late polls that make urgent lookups late as well.
+
+    The load is that of a burst on heavy days: all servers have queues.
+    """
+
+    async def main() -> None:
+        world = World({_server('a'): _load(6, 15)})
+        assert (await world.acquire()).is_ok()
+        urgent = ROUTE._replace(name='u', prefix='/u/', rank=0)
+        profile = ServiceProfile('desk', '/h', 200, COLD_RATE)
+        world.view.adopt_table(
+            RoutingTable(2, (ROUTE, urgent), {'desk': profile})
+        )
+        refused = await world.acquire()
+        assert refused.is_error()
+        assert refused.error.code is RefusalCode.OVERLOADED
+        world.loads['a'] = _load(6, 3)
+        assert (await world.acquire()).is_ok()
+
+    run_paused(main())
+
+
 def test_drained_server_is_not_used() -> None:
     """Guards against a send to a server that drains since the check."""
     world = World({_server('a'): _load()})
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,449 @@
+"""Randomized fault soak of real gateway processes.
+
+Run `python tests/soak/soak.py --seeds 50 --start 1 --seconds 12`. Each seed
+gives a series of overlapping faults; the checks use only what callers and
+servers have seen. Exit code 1 means a broken promise.
+"""
+
+import argparse
+import asyncio
+from collections import Counter
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+sys.path[:0] = [
+    str(pathlib.Path(__file__).parents[2] / 'src'),
+    str(pathlib.Path(__file__).parent),
+]
+
+from proxy import Mode  # noqa: E402
+from world import Gateway  # noqa: E402
+from world import World  # noqa: E402
+
+from teaselrock.platform import headers  # noqa: E402
+
+REQUESTS_PER_S: Final = 60
+DEADLINE_MS: Final = 1500
+# A server's leaving and a change of routes have to be in force by then.
+FORCE_S: Final = 2.0
+# Promises with a time bound hold for gateways that were left alone so long.
+CALM_S: Final = 3.0
+# Timers of this process and the loopback add to each bound.
+TIMER_SLACK_S: Final = 0.3
+_HOST: Final = 'soak.example'
+
+
+class Call(NamedTuple):
+    """What one caller saw; `status` is 0 without an answer."""
+
+    request_id: str
+    gateway: str
+    is_build: bool
+    sent: float
+    ended: float
+    status: int
+    is_right: bool
+
+
+class Trouble(NamedTuple):
+    """A fault of one gateway ('' for all), for the time rules."""
+
+    gateway: str
+    start: float
+    end: float
+    is_planned: bool
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, *, seed: int, seconds: float, folder: str) -> None:
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._world = World(seed=seed, folder=pathlib.Path(folder))
+        self._calls: list[Call] = []
+        self._troubles: list[Trouble] = []
+        self._problems: list[str] = []
+        self._version = 0
+        self._route = ''
+        self._count = 0
+
+    @property
+    def summary(self) -> str:
+        """Calls by status, runs and faults."""
+        statuses = Counter(call.status for call in self._calls)
+        counts = ', '.join(f'{k}: {n}' for k, n in sorted(statuses.items()))
+        return (
+            f'{len(self._calls)} calls ({counts}), '
+            f'{len(self._world.runs)} runs, {len(self._troubles)} faults'
+        )
+
+    async def run(self) -> list[str]:
+        """Play the run; returns the broken promises."""
+        self._change_routes()
+        try:
+            await self._world.start()
+            tasks = [
+                asyncio.create_task(self._load()),
+                asyncio.create_task(self._faults()),
+            ]
+            await asyncio.sleep(self._seconds)
+            tasks[1].cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._check_end()
+        finally:
+            await self._world.stop()
+        self._check_calls()
+        return self._problems
+
+    # Faults
+
+    async def _faults(self) -> None:
+        faults = (
+            self._kill,
+            self._term,
+            self._pause,
+            self._cut_store,
+            self._store_down,
+            self._cut_server,
+            self._lose_answers,
+            self._drain,
+            self._routes,
+            self._hang_up,
+        )
+        running: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                fault = self._rng.choice(faults)
+                task = asyncio.create_task(fault())
+                running.add(task)
+                task.add_done_callback(running.discard)
+                await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+        finally:
+            # Faults that have begun end by themselves.
+            await asyncio.gather(*running, return_exceptions=True)
+
+    def _pick(self) -> Gateway:
+        return self._rng.choice(self._world.gateways)
+
+    def _note(
+        self, gateway: str, seconds: float, *, is_planned: bool = False
+    ) -> None:
+        now = time.monotonic()
+        self._troubles.append(Trouble(gateway, now, now + seconds, is_planned))
+
+    async def _kill(self) -> None:
+        gateway = self._pick()
+        self._note(gateway.name, 2.0)
+        await gateway.end(signal.SIGKILL)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        await gateway.start()
+
+    async def _term(self) -> None:
+        gateway = self._pick()
+        self._note(gateway.name, 8.0, is_planned=True)
+        await gateway.end(signal.SIGTERM)
+        await gateway.start()
+
+    async def _pause(self) -> None:
+        gateway = self._pick()
+        seconds = self._rng.uniform(0.2, 2.0)
+        self._note(gateway.name, seconds + 0.5)
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.signal(signal.SIGCONT)
+
+    async def _hang_up(self) -> None:
+        self._pick().signal(signal.SIGHUP)
+
+    async def _cut_store(self) -> None:
+        gateway = self._pick()
+        seconds = self._rng.uniform(0.5, 3.0)
+        self._note(gateway.name, seconds)
+        if gateway.proxy is not None:
+            modes = (Mode.SILENCE, Mode.RESET, Mode.NO_ANSWERS)
+            gateway.proxy.set_mode(self._rng.choice(modes))
+            await asyncio.sleep(seconds)
+            gateway.proxy.set_mode(Mode.PASS)
+
+    async def _store_down(self) -> None:
+        seconds = self._rng.uniform(0.5, 3.0)
+        self._note('', seconds)
+        self._world.store.status = self._rng.choice((503, 429, 500))
+        await asyncio.sleep(seconds)
+        self._world.store.status = None
+
+    async def _cut_server(self) -> None:
+        server = self._rng.choice(self._world.servers)
+        seconds = self._rng.uniform(0.3, 2.0)
+        self._note('', seconds)
+        if server.proxy is not None:
+            server.proxy.set_mode(
+                self._rng.choice(list(Mode)),
+                delay=self._rng.uniform(0.0, 0.2),
+            )
+            await asyncio.sleep(seconds)
+            server.proxy.set_mode(Mode.PASS)
+
+    async def _lose_answers(self) -> None:
+        server = self._rng.choice(self._world.servers)
+        seconds = self._rng.uniform(0.5, 2.0)
+        self._note('', seconds)
+        server.loses = 0.3
+        await asyncio.sleep(seconds)
+        server.loses = 0.0
+
+    async def _drain(self) -> None:
+        world = self._world
+        live = [one for one in world.servers if one.gone_since is None]
+        if len(live) < 4:
+            return
+        server = self._rng.choice(live)
+        if self._rng.random() < 0.5:
+            world.store.put(
+                'servers',
+                server.server_id,
+                server.soak_entry(state='draining'),
+            )
+        else:
+            world.store.delete('servers', server.server_id)
+        server.gone_since = time.monotonic() + FORCE_S
+        await asyncio.sleep(self._rng.uniform(2.5, 5.0))
+        server.gone_since = None
+        world.store.put('servers', server.server_id, server.soak_entry())
+
+    async def _routes(self) -> None:
+        self._change_routes()
+
+    def _change_routes(self) -> None:
+        """Add a route of a new name; the others stay."""
+        self._version += self._rng.randint(1, 3)
+        self._route = f'/new{self._version}/'
+        paths = [
+            _path('lookup', '/look/', 'idempotent'),
+            _path('build', '/build/', 'non_idempotent'),
+            _path('new', self._route, 'idempotent'),
+        ]
+        self._world.store.put(
+            'config',
+            'main',
+            {
+                'version': f'{self._version:08x}',
+                'services': [{'name': 'desk', 'cold_per_s': 6.0}],
+                'virtual_hosts': [{'host': _HOST, 'paths': paths}],
+            },
+        )
+
+    # Callers
+
+    async def _load(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._seconds
+        callers = [asyncio.create_task(self._caller(until)) for _ in range(12)]
+        await asyncio.gather(*callers)
+
+    async def _caller(self, until: float) -> None:
+        """Send requests on kept connections until the end."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            gateway = self._pick()
+            try:
+                reader, writer = await asyncio.open_connection(
+                    gateway.ip, gateway.ports[0]
+                )
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while loop.time() < until:
+                    pause = 12 / REQUESTS_PER_S * self._rng.uniform(0.5, 1.5)
+                    await asyncio.sleep(pause)
+                    if not await self._call(gateway, reader, writer):
+                        break
+            finally:
+                writer.close()
+
+    async def _call(
+        self,
+        gateway: Gateway,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Make one call; False if the connection cannot be used again."""
+        self._count += 1
+        request_id = f'r{self._count}'
+        is_build = self._rng.random() < 0.4
+        target = f'/{"build" if is_build else "look"}/{request_id}'
+        method = 'POST' if is_build else 'GET'
+        sent = time.monotonic()
+        status, body, keeps = 0, b'', False
+        try:
+            writer.write(
+                f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n'
+                f'{headers.REQUEST_ID}: {request_id}\r\n'
+                f'{headers.DEADLINE}: {DEADLINE_MS}\r\n\r\n'.encode()
+            )
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
+                status, body, keeps = await _read_answer(reader)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            status = 0
+        right = status != 200 or body == f'{request_id} {target}'.encode()
+        self._calls.append(
+            Call(
+                request_id,
+                gateway.name,
+                is_build,
+                sent,
+                time.monotonic(),
+                status,
+                right,
+            )
+        )
+        return keeps
+
+    # Checks
+
+    async def _check_end(self) -> None:
+        """After the faults: all gateways serve the newest route."""
+        await asyncio.sleep(CALM_S + FORCE_S)
+        for gateway in self._world.gateways:
+            reader, writer = await asyncio.open_connection(
+                gateway.ip, gateway.ports[0]
+            )
+            writer.write(
+                f'GET {self._route}x HTTP/1.1\r\nHost: {_HOST}\r\n'
+                f'{headers.REQUEST_ID}: end-{gateway.name}\r\n'
+                f'{headers.DEADLINE}: 3000\r\n\r\n'.encode()
+            )
+            status, _, _ = await _read_answer(reader)
+            writer.close()
+            if status != 200:
+                self._problems.append(
+                    f'{gateway.name} answers {status} on the newest route '
+                    f'{CALM_S + FORCE_S} s after the last fault'
+                )
+
+    def _check_calls(self) -> None:
+        runs: dict[str, int] = {}
+        for run in self._world.runs:
+            runs[run.request_id] = runs.get(run.request_id, 0) + 1
+        for call in self._calls:
+            ran = runs.get(call.request_id, 0)
+            if call.is_build and ran > 1:
+                self._problems.append(f'build {call.request_id} ran {ran}x')
+            if call.is_build and call.status in (408, 421, 429, 503) and ran:
+                self._problems.append(
+                    f'{call.request_id} was refused as not run, and ran'
+                )
+            if not call.is_right:
+                self._problems.append(f'{call.request_id}: wrong answer')
+            if call.status == 404:
+                self._problems.append(f'{call.request_id}: 404 of a route')
+            if call.status == 0 and ran and self._is_planned_only(call):
+                self._problems.append(
+                    f'{call.request_id} was cut by the stop of {call.gateway}'
+                )
+        self._check_drains()
+
+    def _check_drains(self) -> None:
+        by_id = {call.request_id: call for call in self._calls}
+        for run in self._world.runs:
+            call = by_id.get(run.request_id)
+            if not run.is_gone or call is None:
+                continue
+            if not self._disturbed(call.gateway, run.at - CALM_S, run.at):
+                self._problems.append(
+                    f'{run.request_id} reached {run.server_id} after it left'
+                )
+
+    def _disturbed(self, gateway: str, start: float, end: float) -> bool:
+        return any(
+            one.gateway in ('', gateway)
+            and one.start <= end
+            and one.end + TIMER_SLACK_S >= start
+            for one in self._troubles
+        )
+
+    def _is_planned_only(self, call: Call) -> bool:
+        """Whether only a planned stop can have cut the call."""
+        near = [
+            one
+            for one in self._troubles
+            if one.gateway in ('', call.gateway)
+            and one.start <= call.ended + TIMER_SLACK_S
+            and one.end + CALM_S >= call.sent
+        ]
+        return bool(near) and all(one.is_planned for one in near)
+
+
+def _path(name: str, prefix: str, kind: str) -> dict[str, Any]:
+    return {
+        'name': name,
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 1500,
+        'target_latency_ms': 300,
+        'priority': 1,
+        'service': 'desk',
+        'max_attempts': 2,
+    }
+
+
+async def _read_answer(
+    reader: asyncio.StreamReader,
+) -> tuple[int, bytes, bool]:
+    """Status, body, and whether the connection stays open."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+    length = 0
+    for line in head.split('\r\n'):
+        if line.startswith('content-length:'):
+            length = int(line.partition(':')[2])
+    body = await reader.readexactly(length)
+    return int(head.split()[1]), body, 'connection: close' not in head
+
+
+class Played(NamedTuple):
+    """Result of one seed."""
+
+    problems: list[str]
+    summary: str
+
+
+def play(*, seed: int, seconds: float, folder: str) -> Played:
+    """Play one seed; logs of the gateways stay in `folder`."""
+
+    async def main() -> Played:
+        soak = Soak(seed=seed, seconds=seconds, folder=folder)
+        return Played(await soak.run(), soak.summary)
+
+    return asyncio.run(main())
+
+
+def main() -> int:
+    """Play seeds one after the other; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--start', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=12.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.start, options.start + options.seeds):
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        played = play(seed=seed, seconds=options.seconds, folder=folder)
+        failed += bool(played.problems)
+        print(f'seed {seed}: {len(played.problems)} problems, {folder}')
+        print(f'  {played.summary}', flush=True)
+        for problem in played.problems[:10]:
+            print(f'  {problem}')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,245 @@
+"""Gateways as processes, between stand-ins of the store and the servers."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+ROOT: Final = pathlib.Path(__file__).parents[2]
+sys.path.insert(0, str(ROOT / 'tests' / 'platform'))
+
+from platform_world import PlatformServer  # noqa: E402
+from platform_world import PlatformStore  # noqa: E402
+from platform_world import Reply  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+from teaselrock.platform import headers  # noqa: E402
+from teaselrock.transport.requests import CallerRequest  # noqa: E402
+
+ZONES: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
+SLOTS: Final = 4
+GRACE_S: Final = 6.0
+
+
+class Run(NamedTuple):
+    """One execution of a request at a server."""
+
+    request_id: str
+    server_id: str
+    at: float
+    is_gone: bool
+
+
+class SoakServer(PlatformServer):
+    """A server that works for some time and records what it runs."""
+
+    def __init__(
+        self, server_id: str, *, zone: str, runs: list[Run], seed: int
+    ) -> None:
+        super().__init__(server_id)
+        self.zone = zone
+        self.runs = runs
+        self.rng = random.Random(f'{seed} {server_id}')
+        self.running = 0
+        self.gone_since: float | None = None
+        self.loses = 0.0
+        self.proxy: Proxy | None = None
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen behind a proxy."""
+        self.proxy = Proxy(target=await self.http.start())
+        self.address = await self.proxy.start()
+
+    def soak_entry(self, **changes: Any) -> dict[str, Any]:
+        """Registration with the proxy's address."""
+        return self.entry(
+            address=self.address, zone=self.zone, slots=SLOTS, **changes
+        )
+
+    async def _handle(self, request: CallerRequest) -> Reply | None:
+        if request.target == '/health':
+            self.load = f'{self.running},0,{SLOTS},100'
+            return await super()._handle(request)
+        request_id = request.field(headers.REQUEST_ID.lower()) or ''
+        if self.running >= SLOTS:
+            return 503, {headers.NOT_EXECUTED: '1'}, b''
+        now = time.monotonic()
+        gone = self.gone_since is not None and now > self.gone_since
+        self.runs.append(Run(request_id, self.server_id, now, gone))
+        self.running += 1
+        try:
+            await asyncio.sleep(self.rng.uniform(0.02, 0.12))
+        finally:
+            self.running -= 1
+        if self.rng.random() < self.loses:
+            return None
+        body = f'{request_id} {request.target}'.encode()
+        return 200, self.signed(request), body
+
+
+class Gateway:
+    """One gateway process with its own way to the store."""
+
+    def __init__(
+        self, *, name: str, zone: str, index: int, folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.ip = f'127.0.1.{index + 1}'
+        self.settings = folder / f'{name}.json'
+        self.log = folder / f'{name}.log'
+        self.process: asyncio.subprocess.Process | None = None
+        self.proxy: Proxy | None = None
+        self.ports = _free_ports(self.ip, 3)
+        self.stopped_at: float | None = None
+
+    async def prepare(self, store: str) -> None:
+        """Write the settings."""
+        self.proxy = Proxy(target=store)
+        front, ready, peer = self.ports
+        self.settings.write_text(
+            json.dumps(
+                {
+                    'node_name': self.name,
+                    'ip': self.ip,
+                    'zone': self.zone,
+                    'region': ZONES[self.zone],
+                    'zones': ZONES,
+                    'listen': {
+                        'front': f'{self.ip}:{front}',
+                        'readiness_addr': f'{self.ip}:{ready}',
+                    },
+                    'port_range': [peer, peer + 1],
+                    'bounds': [
+                        'cold_overshoot=1.5',
+                        'cold_slack=5',
+                        'retry_budget_ratio=0.2',
+                        f'grace_s={GRACE_S}',
+                    ],
+                    'platform': {'address': await self.proxy.start()},
+                }
+            ),
+            'utf-8',
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            'TEASELROCK_SETTINGS': str(self.settings),
+        }
+        with self.log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / 'deploy' / 'gateway.py'),
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that this soak has started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: int) -> None:
+        """Signal and wait for the end; after the grace, kill."""
+        process = self.process
+        if process is None:
+            return
+        self.signal(number)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await process.wait()
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform does."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                self.ip, self.ports[1]
+            )
+            writer.write(b'GET /ready HTTP/1.0\r\n\r\n')
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b' 200 ' in line
+
+
+class World:
+    """Store, servers and gateways of one run."""
+
+    def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
+        self.runs: list[Run] = []
+        self.store = PlatformStore()
+        self.store.page = 500
+        zones = list(ZONES)
+        self.servers = [
+            SoakServer(
+                f's{index}',
+                zone=zones[index % len(zones)],
+                runs=self.runs,
+                seed=seed,
+            )
+            for index in range(6)
+        ]
+        self.gateways = [
+            Gateway(
+                name=f'g{index}',
+                zone=zones[index % len(zones)],
+                index=index,
+                folder=folder,
+            )
+            for index in range(6)
+        ]
+
+    async def start(self) -> None:
+        """Start everything and wait until the gateways are ready."""
+        address = await self.store.http.start()
+        for server in self.servers:
+            await server.start()
+            self.store.put('servers', server.server_id, server.soak_entry())
+        for gateway in self.gateways:
+            await gateway.prepare(address)
+            await gateway.start()
+        async with asyncio.timeout(20):
+            for gateway in self.gateways:
+                while not await gateway.is_ready():
+                    await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """End the processes that this run started."""
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+        await asyncio.gather(
+            *(gateway.end(signal.SIGKILL) for gateway in self.gateways)
+        )
+        for gateway in self.gateways:
+            if gateway.proxy is not None:
+                gateway.proxy.stop()
+        for server in self.servers:
+            server.http.stop()
+            if server.proxy is not None:
+                server.proxy.stop()
+        self.store.http.stop()
+
+
+def _free_ports(ip: str, count: int) -> list[int]:
+    found = [socket.socket() for _ in range(count)]
+    for one in found:
+        one.bind((ip, 0))
+    ports = [one.getsockname()[1] for one in found]
+    for one in found:
+        one.close()
+    return ports
