--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -40,7 +40,7 @@
 from teaselrock.transport.callers import CallerServer
 from teaselrock.transport.front import FrontEnd
 from teaselrock.transport.operators import OperatorsEndpoint
-from teaselrock.transport.operators import OperatorsSource
+from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.peers import ZmqPeerLink
 from teaselrock.transport.store import HttpPlatform
 from teaselrock.transport.store import HttpPlatformList
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -33,8 +33,8 @@
 from teaselrock.state.configuration import Document
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_connection import CallerPort
-from teaselrock.transport.operators import OperatorsEndpoint
-from teaselrock.transport.operators import OperatorsSource
+from teaselrock.transport.operators_pages import OperatorsSource
+from teaselrock.transport.operators_port import operators_port
 from teaselrock.transport.relay_link import StreamRelayLink
 from teaselrock.transport.routed_front import RoutedFront
 
@@ -44,7 +44,7 @@
 # two answers of the readiness check, which it asks for once a second.
 STOP_DELAY_S: Final = 2.5
 # Part of the stop's grace that is kept for the end of the process.
-STOP_MARGIN_S: Final = 0.9
+STOP_MARGIN_S: Final = 0.5
 # Settings may also change without a signal.
 SETTINGS_POLL_S: Final = 2.0
 
@@ -122,9 +122,7 @@
                 observer=self._metrics,
             )
         )
-        self._operators = OperatorsEndpoint(
-            host=settings.readiness.host,
-            port=settings.readiness.port,
+        self._operators = operators_port(
             source=OperatorsSource(
                 is_alive=lambda: True,
                 is_ready=lambda: self.is_ready,
@@ -148,7 +146,8 @@
         """Start the parts, then listen; `OSError` if that fails."""
         self._events.start()
         await self._instance.start()
-        self._operators.start()
+        readiness = self._settings.readiness
+        await self._operators.start(host=readiness.host, port=readiness.port)
         callers = self._settings.callers
         await self._port.start(host=callers.host, port=callers.port)
         self._is_listening = True
@@ -172,7 +171,8 @@
         )
         await self._instance.stop()
         self._store.close()
-        await asyncio.to_thread(self._operators.stop)
+        self._operators.stop_accepting()
+        await self._operators.wait_closed(limit=0.0)
         self._events.emit(event=Event.GATEWAY_STOPPED)
         self._events.stop()
 
--- a/src/teaselrock/transport/operators.py
+++ b/src/teaselrock/transport/operators.py
@@ -9,55 +9,27 @@
 import threading
 from typing import Any
 from typing import Final
-from typing import NamedTuple
 
 import cheroot.wsgi
-import msgspec
+
+from teaselrock.transport.operators_pages import OperatorsSource
+from teaselrock.transport.operators_pages import page
+from teaselrock.transport.operators_pages import READY_PATH
 
 REQUEST_THREADS: Final = 2
 STOP_TIMEOUT_S: Final = 1
 # Idle connections of scrapers are closed after this time.
 IDLE_TIMEOUT_S: Final = 10
-READY_PATH: Final = '/readyz'
-
-_TEXT: Final = 'text/plain; charset=utf-8'
-_METRICS: Final = 'text/plain; version=0.0.4; charset=utf-8'
-_JSON: Final = 'application/json'
-
 _Start = Callable[[str, list[tuple[str, str]]], Any]
 
 
-class OperatorsSource(NamedTuple):
-    """What the endpoint shows; each callable runs in another thread.
-
-    `status` returns a value that JSON can hold.
-    """
-
-    is_alive: Callable[[], bool]
-    is_ready: Callable[[], bool]
-    metrics: Callable[[], bytes]
-    status: Callable[[], object]
-
-
-class _Page(NamedTuple):
-    status: str
-    content_type: str
-    body: bytes
-
-
 class OperatorsEndpoint:
     """HTTP server for operators; `start` binds, `stop` waits for the end."""
 
     def __init__(
-        self,
-        *,
-        host: str,
-        port: int,
-        source: OperatorsSource,
-        ready_path: str = READY_PATH,
+        self, *, host: str, port: int, source: OperatorsSource
     ) -> None:
         self._source = source
-        self._ready_path = ready_path
         self._server = cheroot.wsgi.Server(
             (host, port),
             self._serve,
@@ -86,35 +58,20 @@
     def _serve(
         self, environ: dict[str, Any], start: _Start
     ) -> Iterable[bytes]:
-        page = self._page(environ['REQUEST_METHOD'], environ['PATH_INFO'])
+        found = page(
+            self._source,
+            method=environ['REQUEST_METHOD'],
+            path=environ['PATH_INFO'],
+            ready_path=READY_PATH,
+        )
         start(
-            page.status,
+            found.status,
             [
-                ('Content-Type', page.content_type),
-                ('Content-Length', str(len(page.body))),
+                ('Content-Type', found.content_type),
+                ('Content-Length', str(len(found.body))),
                 ('Cache-Control', 'no-store'),
             ],
         )
         if environ['REQUEST_METHOD'] == 'HEAD':
             return ()
-        return (page.body,)
-
-    def _page(self, method: str, path: str) -> _Page:
-        source = self._source
-        if method not in ('GET', 'HEAD'):
-            return _Page('405 Method Not Allowed', _TEXT, b'use GET\n')
-        if path == '/healthz':
-            return _check(source.is_alive())
-        if path == self._ready_path:
-            return _check(source.is_ready())
-        if path == '/metrics':
-            return _Page('200 OK', _METRICS, source.metrics())
-        if path == '/status':
-            return _Page('200 OK', _JSON, msgspec.json.encode(source.status()))
-        return _Page('404 Not Found', _TEXT, b'not found\n')
-
-
-def _check(good: bool) -> _Page:
-    if good:
-        return _Page('200 OK', _TEXT, b'ok\n')
-    return _Page('503 Service Unavailable', _TEXT, b'not ready\n')
+        return (found.body,)
--- /dev/null
+++ b/src/teaselrock/transport/operators_port.py
@@ -0,0 +1,62 @@
+"""Operators' endpoint on the event loop, for small instances.
+
+cheroot's server looks for work a hundred times a second, which the
+platform bills as processor time; this one sleeps until it is asked.
+"""
+
+from typing import Final
+
+from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.caller_connection import CallerAnswer
+from teaselrock.transport.caller_connection import CallerPort
+from teaselrock.transport.operators_pages import OperatorsSource
+from teaselrock.transport.operators_pages import page
+from teaselrock.transport.operators_pages import READY_PATH
+from teaselrock.transport.requests import CallerRequest
+from teaselrock.transport.requests import RequestProblem
+
+# Scrapers and load balancers send small requests.
+LIMITS: Final = CallerLimits(body_bytes=1024, idle_timeout=10.0)
+
+
+class OperatorsService:
+    """`RequestService` of the operators' pages."""
+
+    def __init__(self, *, source: OperatorsSource, ready_path: str) -> None:
+        self._source = source
+        self._ready_path = ready_path
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits of scrapers."""
+        return LIMITS
+
+    def may_pipeline(self, request: CallerRequest) -> bool:
+        """Pages have no effect."""
+        return True
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """One page."""
+        found = page(
+            self._source,
+            method=request.method,
+            path=request.target.partition('?')[0],
+            ready_path=self._ready_path,
+        )
+        headers = (
+            ('Content-Type', found.content_type),
+            ('Cache-Control', 'no-store'),
+        )
+        return CallerAnswer(int(found.status[:3]), headers, found.body)
+
+    def problem(self, problem: RequestProblem) -> CallerAnswer:
+        """Answer to a request that could not be read."""
+        return CallerAnswer(problem.status, ())
+
+
+def operators_port(
+    *, source: OperatorsSource, ready_path: str = READY_PATH
+) -> CallerPort:
+    """Port that serves the operators' pages."""
+    service = OperatorsService(source=source, ready_path=ready_path)
+    return CallerPort(service=service)
