--- a/src/teaselrock/coordination/choice/checked.py
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -168,7 +168,8 @@
             best = self._best(request, route, found)
             if best and best[0].expected <= self._near_limit(route):
                 break
-        chosen = self._take(request, self._best(request, route, found))
+        candidates = self._best(request, route, found)
+        chosen = candidates[0] if candidates else None
         self._checks.give_back(
             [one for one in found if chosen is None or one != chosen.check]
         )
@@ -185,6 +186,8 @@
             self._checks.give_back((chosen.check,))
             return Error(refusal)
         self._sends[chosen.check.server.server_id].append(now)
+        if chosen.check.load.cold_for > 0:
+            self._cold.take(server=chosen.check.server)
         return Ok(
             CheckedSlot(
                 source=self,
@@ -258,11 +261,17 @@
     def _best(
         self, request: Request, route: Route, checks: Sequence[Check]
     ) -> list[_Candidate]:
-        """Candidates by rising score."""
+        """Candidates by rising score; cold servers within their limit."""
         found: list[_Candidate] = []
+        profile = self._view.table.services.get(request.service)
+        cold_rate = profile.cold_rate if profile is not None else 0.0
         for check in checks:
             if not self._view.may_serve(check.server):
                 continue
+            if check.load.cold_for > 0 and not self._cold.can_take(
+                server=check.server, cold_rate=cold_rate
+            ):
+                continue
             sends = self._sends[check.server.server_id]
             expected = (
                 self._estimates.expected(
@@ -288,20 +297,6 @@
             return OTHER_ZONE_FACTOR
         return OTHER_REGION_FACTOR
 
-    def _take(
-        self, request: Request, candidates: Sequence[_Candidate]
-    ) -> _Candidate | None:
-        """The best candidate; a cold one only within its limit."""
-        profile = self._view.table.services.get(request.service)
-        rate = profile.cold_rate if profile is not None else 0.0
-        for candidate in candidates:
-            check = candidate.check
-            if check.load.cold_for <= 0 or self._cold.try_take(
-                server=check.server, cold_rate=rate
-            ):
-                return candidate
-        return None
-
     def _reason(self, zone: AvailabilityZone) -> AttemptReason:
         if zone == self._own:
             return AttemptReason.LOCAL
--- a/src/teaselrock/coordination/choice/cold.py
+++ b/src/teaselrock/coordination/choice/cold.py
@@ -46,16 +46,18 @@
         self._roster = tuple(known.values())
         self._has_roster = True
 
-    def try_take(self, *, server: BackendServer, cold_rate: float) -> bool:
-        """Take one request to a cold server, if the limit allows."""
+    def can_take(self, *, server: BackendServer, cold_rate: float) -> bool:
+        """Whether the limit allows a request to a cold server now."""
         now = asyncio.get_running_loop().time()
         sends = self._sends.setdefault(server.server_id, deque())
         while sends and sends[0] <= now - WINDOW_S:
             sends.popleft()
-        if len(sends) >= self._limit(server, cold_rate):
-            return False
-        sends.append(now)
-        return True
+        return len(sends) < self._limit(server, cold_rate)
+
+    def take(self, *, server: BackendServer) -> None:
+        """Count a request to a cold server."""
+        now = asyncio.get_running_loop().time()
+        self._sends.setdefault(server.server_id, deque()).append(now)
 
     def _limit(self, server: BackendServer, cold_rate: float) -> int:
         if not self._has_roster:
--- a/tests/choice/test_choice.py
+++ b/tests/choice/test_choice.py
@@ -344,7 +344,8 @@
             limit.set_roster(roster)
         for step in range(400):
             for limit in limits:
-                if limit.try_take(server=_server('s'), cold_rate=COLD_RATE):
+                if limit.can_take(server=_server('s'), cold_rate=COLD_RATE):
+                    limit.take(server=_server('s'))
                     sends.append(step * 0.01)
             await asyncio.sleep(0.01)
 
@@ -357,15 +358,39 @@
     assert len(sends) / 4.0 >= COLD_RATE * 0.8
 
 
+def test_cold_servers_do_not_hide_another_region() -> None:
+    """Guards against refusals while another region has room.
+
+    On the recorded incident a zone of two was out and the other one's
+    servers were cold: requests were refused without a look elsewhere.
+    """
+    world = World(
+        {
+            _server('cold'): _load(cold_for=3.0),
+            _server('full', EAST_B): _load(6, 30),
+            _server('far', WEST): _load(1),
+        }
+    )
+
+    async def main() -> None:
+        chosen = [(await world.acquire()).ok.server for _ in range(30)]
+        names = [one.server_id for one in chosen]
+        assert 'far' in names
+        assert 'full' not in names
+        assert 0 < names.count('cold') <= COLD_RATE * OVERSHOOT + SLACK
+
+    run_paused(main())
+
+
 def test_cold_server_without_roster_or_outside_the_region() -> None:
     """Guards against cold servers that instances of all regions use."""
 
     async def main() -> None:
         own = RosterEntry('i0', 'west', 'west-a')
         limits = ColdLimits(own=own, overshoot=OVERSHOOT, slack=SLACK)
-        assert not limits.try_take(server=_server('s'), cold_rate=COLD_RATE)
+        assert not limits.can_take(server=_server('s'), cold_rate=COLD_RATE)
         limits.set_roster((own, RosterEntry('i1', 'east', 'east-a')))
-        assert not limits.try_take(server=_server('s'), cold_rate=COLD_RATE)
+        assert not limits.can_take(server=_server('s'), cold_rate=COLD_RATE)
 
     run_paused(main())
 
