--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -141,16 +141,19 @@
 
     async def _kill(self) -> None:
         gateway = self._pick()
-        self._note(gateway.name, 2.0)
-        await gateway.end(signal.SIGKILL)
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-        await gateway.start()
+        pause = self._rng.uniform(0.0, 0.5)
+        async with gateway.restarting:
+            self._note(gateway.name, 2.0)
+            await gateway.end(signal.SIGKILL)
+            await asyncio.sleep(pause)
+            await gateway.start()
 
     async def _term(self) -> None:
         gateway = self._pick()
-        self._note(gateway.name, 8.0, is_planned=True)
-        await gateway.end(signal.SIGTERM)
-        await gateway.start()
+        async with gateway.restarting:
+            self._note(gateway.name, 8.0, is_planned=True)
+            await gateway.end(signal.SIGTERM)
+            await gateway.start()
 
     async def _pause(self) -> None:
         gateway = self._pick()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,7 +15,14 @@
     cause: str
 
 
-SEEDS = (Seed(1, 'none: the short run of CI'),)
+SEEDS = (
+    Seed(1, 'none: the short run of CI'),
+    Seed(
+        59,
+        'two faults restarted one gateway at the same time, which left a '
+        'process behind: a fault of the soak, whose restarts now take turns',
+    ),
+)
 
 
 @pytest.mark.parametrize('case', SEEDS, ids=[str(one.seed) for one in SEEDS])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -100,7 +100,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.proxy: Proxy | None = None
         self.ports = _free_ports(self.ip, 3)
-        self.stopped_at: float | None = None
+        # Overlapping restarts of one gateway would leave a process behind.
+        self.restarting = asyncio.Lock()
 
     async def prepare(self, store: str) -> None:
         """Write the settings."""
