--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -11,9 +11,6 @@
 from teaselrock.state import Verdict
 from teaselrock.state.routes import Route
 
-# An estimate is uncertain; a request is refused only above this multiple of
-# the time that it has left.
-LATE_FACTOR: Final = 1.0
 # Multiple of its target latency up to which a less urgent request is sent.
 YIELDING_TARGETS: Final = 1.3
 # Noise of the servers changes within this time.
@@ -30,7 +27,7 @@
     servers with more urgent ones; far beyond its target latency it would
     only make those late as well.
     """
-    limit = LATE_FACTOR * remaining
+    limit = remaining
     if yields:
         limit = min(limit, YIELDING_TARGETS * route.target_latency)
     if expected <= limit:
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -32,13 +32,13 @@
 
     A cold server bears its rate times `cold_overshoot` plus `cold_slack`
     requests in one second. Extra attempts may be `retry_share` of the
-    requests of `retry_window`, plus `retry_extra`, over all instances.
+    requests of `retry_window`, over all instances; the fixed part that the
+    installation allows besides is not used.
     """
 
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     retry_share: float = 0.1
-    retry_extra: float = 0.0
     retry_window: float = 10.0
     stop_grace: float = 6.0
 
@@ -153,7 +153,6 @@
         cold_overshoot=values.get('cold_overshoot', default.cold_overshoot),
         cold_slack=values.get('cold_slack', default.cold_slack),
         retry_share=values.get('retry_budget_ratio', default.retry_share),
-        retry_extra=values.get('retry_budget_extra', default.retry_extra),
         retry_window=values.get('budget_window_s', default.retry_window),
         stop_grace=values.get('grace_s', default.stop_grace),
     )
