Forget servers that are gone

Nothing called ConnectionPool.drop and Standings.forget, so idle connections, standings and send times of removed servers stayed until the process ended, and connections that a server had closed kept their descriptors. The sync of the installation now tells when a server is gone, idle connections that are closed are pruned every 5 s, and an instance keeps no more idle connections than its part of the service's limit.

--- a/src/teaselrock/coordination/choice/__init__.py
+++ b/src/teaselrock/coordination/choice/__init__.py
@@ -4,12 +4,14 @@
 from teaselrock.coordination.choice.checks import LoadChecks
 from teaselrock.coordination.choice.cold import ColdLimits
 from teaselrock.coordination.choice.estimates import WorkEstimates
+from teaselrock.coordination.choice.idle import SharedIdleLimit
 from teaselrock.coordination.choice.standing import Standings
 
 __all__ = (
     'CheckedSlots',
     'ColdLimits',
     'LoadChecks',
+    'SharedIdleLimit',
     'Standings',
     'WorkEstimates',
 )
--- a/src/teaselrock/coordination/choice/checked.py
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -202,6 +202,12 @@
         """Whether the server may still get new work."""
         return self._view.may_serve(server)
 
+    def forget(self, server_id: str) -> None:
+        """Drop what is known of a server that is gone."""
+        self._standings.forget(server_id)
+        self._cold.forget(server_id)
+        self._sends.pop(server_id, None)
+
     def on_release(
         self,
         *,
--- a/src/teaselrock/coordination/choice/checks.py
+++ b/src/teaselrock/coordination/choice/checks.py
@@ -16,6 +16,8 @@
 
 from teaselrock.coordination.choice.standing import Standings
 from teaselrock.coordination.connections import ConnectionPool
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import BackendConnector
 from teaselrock.state import BackendServer
@@ -48,10 +50,12 @@
         connector: BackendConnector,
         connections: ConnectionPool,
         standings: Standings,
+        events: Events,
     ) -> None:
         self._connector = connector
         self._connections = connections
         self._standings = standings
+        self._events = events
         self._late: set[asyncio.Task[Check | None]] = set()
 
     async def check(
@@ -125,7 +129,11 @@
 
     def _on_late(self, task: asyncio.Task[Check | None]) -> None:
         self._late.discard(task)
-        if task.cancelled() or task.exception() is not None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._events.emit(event=Event.CHECK_FAILED, detail=repr(error))
             return
         check = task.result()
         if check is not None:
--- a/src/teaselrock/coordination/choice/cold.py
+++ b/src/teaselrock/coordination/choice/cold.py
@@ -46,6 +46,27 @@
         self._roster = tuple(known.values())
         self._has_roster = True
 
+    @property
+    def instance_count(self) -> int:
+        """Instances that share the servers, as far as known."""
+        return len(self._roster)
+
+    @property
+    def counted(self) -> frozenset[str]:
+        """Ids of the servers whose requests are counted."""
+        return frozenset(self._sends)
+
+    def forget(self, server_id: str) -> None:
+        """Drop the counts of a server that is gone.
+
+        Counts of the last second stay, since the server may return under
+        its id at once.
+        """
+        now = asyncio.get_running_loop().time()
+        sends = self._sends.get(server_id)
+        if sends is not None and (not sends or sends[-1] <= now - WINDOW_S):
+            del self._sends[server_id]
+
     def can_take(self, *, server: BackendServer, cold_rate: float) -> bool:
         """Whether the limit allows a request to a cold server now."""
         now = asyncio.get_running_loop().time()
--- a/src/teaselrock/coordination/connections.py
+++ b/src/teaselrock/coordination/connections.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections import deque
 from typing import Final
+from typing import Protocol
 
 from expression import Error
 from expression import Ok
@@ -25,6 +26,25 @@
 MAX_IDLE_CONNECTIONS: Final = 200
 
 
+class IdleLimit(Protocol):
+    """How many idle connections to a server are kept."""
+
+    def max_idle(self, *, server: BackendServer) -> int:
+        """Idle connections to keep, 0 for a server that is gone."""
+        ...
+
+
+class FixedIdleLimit:
+    """`IdleLimit` with the same number for all servers."""
+
+    def __init__(self, *, count: int = MAX_IDLE_CONNECTIONS) -> None:
+        self._count = count
+
+    def max_idle(self, *, server: BackendServer) -> int:
+        """The number, also for servers that nobody has registered."""
+        return self._count
+
+
 class ConnectionPool:
     """Idle connections by server, newest first."""
 
@@ -32,12 +52,17 @@
         self,
         *,
         connector: BackendConnector,
-        max_idle: int = MAX_IDLE_CONNECTIONS,
+        idle_limit: IdleLimit | None = None,
     ) -> None:
         self._connector = connector
-        self._max_idle = max_idle
+        self._idle_limit = idle_limit or FixedIdleLimit()
         self._idle: dict[str, deque[BackendConnection]] = defaultdict(deque)
 
+    @property
+    def idle_count(self) -> int:
+        """Idle connections to all servers."""
+        return sum(len(idle) for idle in self._idle.values())
+
     async def checkout(
         self, *, server: BackendServer, start_id: str, deadline: float
     ) -> Result[BackendConnection, ExchangeFailure]:
@@ -90,11 +115,28 @@
     ) -> None:
         """Return a connection; it is closed if not reusable."""
         idle = self._idle[server.server_id]
-        if connection.is_open and len(idle) < self._max_idle:
+        room = self._idle_limit.max_idle(server=server) - len(idle)
+        if connection.is_open and room > 0:
             idle.append(connection)
         else:
             connection.close()
 
+    def prune(self) -> None:
+        """Close idle connections that the server has closed.
+
+        The transport keeps a connection whose other end has closed, and its
+        descriptor, until this end closes it too.
+        """
+        for server_id, idle in list(self._idle.items()):
+            kept = deque(one for one in idle if one.is_open)
+            for connection in idle:
+                if not connection.is_open:
+                    connection.close()
+            if kept:
+                self._idle[server_id] = kept
+            else:
+                del self._idle[server_id]
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from teaselrock.coordination.events import Event
@@ -22,14 +23,23 @@
 
 
 class InstallationSync:
-    """Mirrors of the store, and the view that follows them."""
+    """Mirrors of the store, and the view that follows them.
+
+    `on_gone` gets the id of each server that is removed.
+    """
 
     def __init__(
-        self, *, view: InstallationView, contact: StoreContact, events: Events
+        self,
+        *,
+        view: InstallationView,
+        contact: StoreContact,
+        events: Events,
+        on_gone: Callable[[str], None],
     ) -> None:
         self._view = view
         self._contact = contact
         self._events = events
+        self._on_gone = on_gone
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._zones: dict[str, str] = {}
         self._tables = Mirror(on_change=self._apply_tables)
@@ -117,6 +127,7 @@
     def _remove(self, server_id: str) -> None:
         self._lapsed.pop(server_id, None)
         self._view.remove_server(server_id)
+        self._on_gone(server_id)
         self._events.emit(event=Event.SERVER_GONE, server=server_id)
 
     def _apply_zones(self, change: Change[str]) -> None:
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -8,10 +8,12 @@
 import random
 from typing import Final
 from typing import NamedTuple
+from typing import TypeVar
 
 from teaselrock.coordination.choice import CheckedSlots
 from teaselrock.coordination.choice import ColdLimits
 from teaselrock.coordination.choice import LoadChecks
+from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.choice import Standings
 from teaselrock.coordination.choice import WorkEstimates
 from teaselrock.coordination.connections import ConnectionPool
@@ -28,7 +30,9 @@
 from teaselrock.coordination.registry import RegionRelay
 from teaselrock.coordination.registry import StoreContact
 from teaselrock.coordination.registry import StoreWatch
+from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.watch import SHORT_WAIT_S
+from teaselrock.coordination.registry.watch import WAIT_S
 from teaselrock.coordination.reporting.logged import LoggedReport
 from teaselrock.coordination.routed import BudgetBounds
 from teaselrock.coordination.routed import RouteAdmission
@@ -39,8 +43,10 @@
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
 
-# Idle connections to one server; all instances share the server's limit.
-MAX_IDLE: Final = 8
+T = TypeVar('T')
+
+# Servers close idle connections after 10 s or less.
+PRUNE_PERIOD_S: Final = 5.0
 # The roster changes with added instances only; its reads are priced.
 ROSTER_PERIOD_S: Final = 15.0
 # Instances that start together register within a few seconds.
@@ -91,7 +97,10 @@
         self._view = InstallationView()
         contact = StoreContact(events=ports.events)
         self._sync = InstallationSync(
-            view=self._view, contact=contact, events=ports.events
+            view=self._view,
+            contact=contact,
+            events=ports.events,
+            on_gone=self._forget_server,
         )
         self._relay = RegionRelay(
             own=own,
@@ -100,22 +109,24 @@
             watch=self._make_watch(ports, contact),
             events=ports.events,
         )
-        self._connections = ConnectionPool(
-            connector=ports.connector, max_idle=MAX_IDLE
-        )
-        standings = Standings()
         self._cold = ColdLimits(
             own=own,
             overshoot=options.cold_overshoot,
             slack=options.cold_slack,
         )
-        slots = CheckedSlots(
+        self._connections = ConnectionPool(
+            connector=ports.connector,
+            idle_limit=SharedIdleLimit(view=self._view, cold=self._cold),
+        )
+        standings = Standings()
+        self._slots = CheckedSlots(
             own=AvailabilityZone(own.region, own.zone),
             view=self._view,
             checks=LoadChecks(
                 connector=ports.connector,
                 connections=self._connections,
                 standings=standings,
+                events=ports.events,
             ),
             cold=self._cold,
             standings=standings,
@@ -126,7 +137,7 @@
             readiness=self._view,
             admission=RouteAdmission(regions=options.regions),
             attempts=RouteRunners(
-                slots=slots,
+                slots=self._slots,
                 connections=self._connections,
                 bounds=options.budget,
             ),
@@ -134,7 +145,7 @@
             allowances=UnlimitedAllowances(),
             report=LoggedReport(events=ports.events),
         )
-        self._roster_task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -153,14 +164,17 @@
     async def start(self) -> None:
         """Start the tasks of the parts; returns when they run."""
         await self._relay.start()
-        self._roster_task = asyncio.create_task(self._follow_roster())
+        self._tasks = [
+            asyncio.create_task(self._follow_roster()),
+            asyncio.create_task(self._prune_connections()),
+        ]
 
     async def stop(self) -> None:
         """Finish what is in flight and end the tasks."""
         await self._dispatcher.drain()
-        if self._roster_task is not None:
-            self._roster_task.cancel()
-            await asyncio.gather(self._roster_task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._relay.stop()
         self._sync.stop()
         await self._connections.close()
@@ -168,35 +182,39 @@
     def _make_watch(
         self, ports: RoutedPorts, contact: StoreContact
     ) -> StoreWatch:
-        rng = self._rng
+        def watch(
+            name: str,
+            source: ObjectSource[T],
+            mirror: Mirror[T],
+            wait: float = WAIT_S,
+        ) -> KindWatch[T]:
+            return KindWatch(
+                name=name,
+                source=source,
+                mirror=mirror,
+                contact=contact,
+                rng=self._rng,
+                wait=wait,
+            )
+
         return StoreWatch(
             watches=(
-                KindWatch(
-                    name='routes',
-                    source=ports.tables,
-                    mirror=self._sync.tables,
-                    contact=contact,
-                    rng=rng,
-                    wait=SHORT_WAIT_S,
-                ),
-                KindWatch(
-                    name='servers',
-                    source=ports.servers,
-                    mirror=self._sync.servers,
-                    contact=contact,
-                    rng=rng,
-                ),
-                KindWatch(
-                    name='zones-out',
-                    source=ports.zones_out,
-                    mirror=self._sync.zones_out,
-                    contact=contact,
-                    rng=rng,
-                ),
+                watch('routes', ports.tables, self._sync.tables, SHORT_WAIT_S),
+                watch('servers', ports.servers, self._sync.servers),
+                watch('zones-out', ports.zones_out, self._sync.zones_out),
             ),
             contact=contact,
         )
 
+    def _forget_server(self, server_id: str) -> None:
+        self._connections.drop(server_id=server_id)
+        self._slots.forget(server_id)
+
+    async def _prune_connections(self) -> None:
+        while True:
+            await asyncio.sleep(PRUNE_PERIOD_S)
+            self._connections.prune()
+
     async def _follow_roster(self) -> None:
         """Register once, then read the roster from time to time.
 
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -55,6 +55,7 @@
         Event.SETTINGS_INVALID,
         Event.STORE_LOST,
         Event.OBJECT_UNREADABLE,
+        Event.CHECK_FAILED,
     ),
     logging.WARNING,
 )
--- /dev/null
+++ b/tests/choice/choice_world.py
@@ -0,0 +1,192 @@
+"""Servers with loads that a test sets, and the slots of one instance."""
+
+import asyncio
+import random
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from teaselrock.coordination.choice import CheckedSlots
+from teaselrock.coordination.choice import ColdLimits
+from teaselrock.coordination.choice import LoadChecks
+from teaselrock.coordination.choice import SharedIdleLimit
+from teaselrock.coordination.choice import Standings
+from teaselrock.coordination.choice import WorkEstimates
+from teaselrock.coordination.connections import ConnectionPool
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.ports import BackendConnection
+from teaselrock.coordination.ports import RosterEntry
+from teaselrock.coordination.ports import Slot
+from teaselrock.coordination.registry import InstallationView
+from teaselrock.state import Answer
+from teaselrock.state import AvailabilityZone
+from teaselrock.state import BackendServer
+from teaselrock.state import Content
+from teaselrock.state import ExchangeFailure
+from teaselrock.state import FailureKind
+from teaselrock.state import LoadReport
+from teaselrock.state import Refusal
+from teaselrock.state import Request
+from teaselrock.state import ServerState
+from teaselrock.state import Verdict
+from teaselrock.state.routes import Route
+from teaselrock.state.routes import RoutingTable
+from teaselrock.state.routes import ServiceProfile
+from teaselrock.state.routes import ServiceShare
+
+EAST_A = AvailabilityZone('east', 'east-a')
+EAST_B = AvailabilityZone('east', 'east-b')
+WEST = AvailabilityZone('west', 'west-a')
+ROUTE = Route(
+    name='r',
+    host='a.example',
+    prefix='/x/',
+    shares=(ServiceShare('desk', 1.0),),
+    is_idempotent=True,
+    timeout=2.0,
+    target_latency=0.6,
+    rank=1,
+    max_attempts=2,
+)
+COLD_RATE = 6.3
+OVERSHOOT = 1.5
+SLACK = 5.0
+
+
+def load(
+    in_flight: int = 0,
+    waiting: int = 0,
+    factor: float = 1.0,
+    cold_for: float = 0.0,
+    is_healthy: bool = True,
+) -> LoadReport:
+    return LoadReport(
+        's',
+        ServerState.WARM,
+        in_flight,
+        6,
+        waiting,
+        factor,
+        cold_for,
+        is_healthy,
+    )
+
+
+def server(name: str, zone: AvailabilityZone = EAST_A) -> BackendServer:
+    return BackendServer(name, 'desk', zone, f'{name}:1', 6)
+
+
+class FakeConnection:
+    """A connection whose load a test sets."""
+
+    def __init__(self, world: 'World', server: BackendServer) -> None:
+        self.world = world
+        self.server = server
+        self.is_open = True
+        self.is_closed = False
+
+    @property
+    def load(self) -> LoadReport:
+        return self.world.loads[self.server.server_id]
+
+    async def check(
+        self, *, deadline: float
+    ) -> Result[LoadReport, ExchangeFailure]:
+        self.world.checked.append(self.server.server_id)
+        delay = self.world.delays.get(self.server.server_id, 0.001)
+        limit = deadline - asyncio.get_running_loop().time()
+        await asyncio.sleep(min(delay, limit))
+        error = self.world.errors.get(self.server.server_id)
+        if error is not None:
+            raise error
+        if delay >= limit:
+            self.close()
+            return Error(
+                ExchangeFailure(
+                    FailureKind.TIMEOUT, Verdict.DID_NOT_RUN, 'timeout'
+                )
+            )
+        return Ok(self.load)
+
+    async def exchange(
+        self, *, content: Content, deadline: float
+    ) -> Result[Answer, ExchangeFailure]:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        self.is_open = False
+        self.is_closed = True
+
+
+class World:
+    """Servers with loads, and the slots of one instance in east-a."""
+
+    def __init__(self, loads: dict[BackendServer, LoadReport]) -> None:
+        self.loads = {one.server_id: it for one, it in loads.items()}
+        self.delays: dict[str, float] = {}
+        self.checked: list[str] = []
+        self.errors: dict[str, Exception] = {}
+        self.events: list[Event] = []
+        self.opened = 0
+        self.view = InstallationView()
+        self.view.adopt_table(
+            RoutingTable(
+                1,
+                (ROUTE,),
+                {'desk': ServiceProfile('desk', '/h', 200, COLD_RATE)},
+            )
+        )
+        for one in loads:
+            self.view.put_server(one)
+        own = RosterEntry('i0', 'east', 'east-a')
+        self.cold = ColdLimits(own=own, overshoot=OVERSHOOT, slack=SLACK)
+        self.cold.set_roster((own,))
+        self.pool = ConnectionPool(
+            connector=self,
+            idle_limit=SharedIdleLimit(view=self.view, cold=self.cold),
+        )
+        self.standings = Standings()
+        self.slots = CheckedSlots(
+            own=EAST_A,
+            view=self.view,
+            checks=LoadChecks(
+                connector=self,
+                connections=self.pool,
+                standings=self.standings,
+                events=self,
+            ),
+            cold=self.cold,
+            standings=self.standings,
+            estimates=WorkEstimates(),
+            rng=random.Random(1),
+        )
+
+    async def open(
+        self, *, server: BackendServer, deadline: float
+    ) -> Result[BackendConnection, ExchangeFailure]:
+        self.opened += 1
+        return Ok(FakeConnection(self, server))
+
+    connect = open
+
+    def emit(self, *, event: Event, **fields: str | int | float) -> None:
+        self.events.append(event)
+
+    async def acquire(
+        self, *, remaining: float = 2.0, exclude: tuple[str, ...] = ()
+    ) -> Result[Slot, Refusal]:
+        now = asyncio.get_running_loop().time()
+        return await self.slots.acquire(
+            request=Request(
+                '',
+                'desk',
+                Content('GET', '/x/', (), b''),
+                now + remaining,
+                route=ROUTE,
+            ),
+            regions=frozenset({'east', 'west'}),
+            weight=1,
+            exclude=frozenset(exclude),
+            reason=None,
+        )
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -223,9 +223,13 @@
         self.entry = RosterEntry(name, 'east', 'east-a', name)
         self.events = RecordedEvents()
         self.view = InstallationView()
+        self.gone: list[str] = []
         contact = StoreContact(events=self.events)
         self.sync = InstallationSync(
-            view=self.view, contact=contact, events=self.events
+            view=self.view,
+            contact=contact,
+            events=self.events,
+            on_gone=self.gone.append,
         )
         self.tables = region.kind(name, 0)
         self.watch = StoreWatch(
