Load no slots and membership on the platform

daemon.metrics imported daemon.readings and so the whole shared-slot instance: 68 modules that the platform's gateway never uses. What differs between the two kinds of instances is now collected by slot_metrics and routed_metrics; the log report moves out of the package of segments. The platform's gateway gains metrics of its views, budgets, checks, attempts and store calls, with alerts for them.

--- a/src/teaselrock/coordination/choice/checks.py
+++ b/src/teaselrock/coordination/choice/checks.py
@@ -41,6 +41,13 @@
     ended: float
 
 
+class CheckCounts(NamedTuple):
+    """Load checks since the start of the instance."""
+
+    answered: int = 0
+    failed: int = 0
+
+
 class LoadChecks:
     """Asks servers for their load; unused connections go to the pool."""
 
@@ -57,6 +64,12 @@
         self._standings = standings
         self._events = events
         self._late: set[asyncio.Task[Check | None]] = set()
+        self._counts = CheckCounts()
+
+    @property
+    def counts(self) -> CheckCounts:
+        """Checks that have ended."""
+        return self._counts
 
     async def check(
         self, *, servers: Sequence[BackendServer], deadline: float
@@ -123,7 +136,13 @@
                 result = await _checked(connection, limit)
         if result.is_error() or connection is None:
             self._standings.note_unreachable(server.server_id)
+            self._counts = self._counts._replace(
+                failed=self._counts.failed + 1
+            )
             return None
+        self._counts = self._counts._replace(
+            answered=self._counts.answered + 1
+        )
         self._standings.note_reachable(server.server_id)
         return Check(server, connection, result.ok, started, loop.time())
 
--- a/src/teaselrock/coordination/reporting/logged.py
+++ b/src/teaselrock/coordination/logged_report.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import Protocol
 
 from expression import Ok
 from expression import Result
@@ -20,12 +21,23 @@
 from teaselrock.state import Verdict
 
 
+class AttemptObserver(Protocol):
+    """Counts attempts."""
+
+    def on_attempt(self, *, service: str, reason: str, end: str) -> None:
+        """Count an attempt; `end` is `ok` or the kind of failure."""
+        ...
+
+
 class _LoggedRow:
     """The row of one request in progress."""
 
-    def __init__(self, *, request: Request, events: Events) -> None:
+    def __init__(
+        self, *, request: Request, events: Events, observer: AttemptObserver
+    ) -> None:
         self._request = request
         self._events = events
+        self._observer = observer
         self._started = asyncio.get_running_loop().time()
         self._attempts: list[str] = []
 
@@ -39,6 +51,9 @@
     ) -> None:
         """Add an attempt as `server/zone/reason/end/ms`."""
         end = outcome.failure.value if outcome.failure is not None else 'ok'
+        self._observer.on_attempt(
+            service=server.service, reason=reason.value, end=end
+        )
         self._attempts.append(
             f'{server.server_id}/{server.zone.name}/{reason.value}/{end}/'
             f'{outcome.latency * 1000:.0f}'
@@ -66,12 +81,17 @@
 class LoggedReport:
     """A report whose rows are log lines."""
 
-    def __init__(self, *, events: Events) -> None:
+    def __init__(self, *, events: Events, observer: AttemptObserver) -> None:
         self._events = events
+        self._observer = observer
 
     def open(self, *, request: Request) -> Result[ReportRow, Refusal]:
         """Open a row."""
-        return Ok(_LoggedRow(request=request, events=self._events))
+        return Ok(
+            _LoggedRow(
+                request=request, events=self._events, observer=self._observer
+            )
+        )
 
     def refused(self, *, request: Request, refusal: Refusal) -> None:
         """Write the row of a request that was not admitted."""
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -130,6 +130,15 @@
                 return rank
         return 0
 
+    @property
+    def view_age(self) -> float:
+        """Seconds since the copies were known to be current.
+
+        Copies are current while this instance, or the one that it follows,
+        watches a store that answers.
+        """
+        return asyncio.get_running_loop().time() - self._relied_at
+
     async def _run(self) -> None:
         while True:
             if self._ranked:
@@ -153,6 +162,9 @@
                 await self._watch.stop()
                 self._events.emit(event=Event.WATCH_ENDED)
             return
+        if self._watch.is_connected:
+            self._relied_at = now
+            return
         delay = takeover_delay(rank=self.rank, is_outage=bool(fresh))
         if not self._watch.is_running and now - self._relied_at >= delay:
             self._watch.start()
--- a/src/teaselrock/coordination/registry/view.py
+++ b/src/teaselrock/coordination/registry/view.py
@@ -74,6 +74,14 @@
             }
         return self._in_service.get(service, ())
 
+    @property
+    def in_service(self) -> dict[str, int]:
+        """Servers that may get new work, by service of the table."""
+        return {
+            name: len(self.backend_servers(service=name))
+            for name in self._table.services
+        }
+
     def server(self, server_id: str) -> BackendServer | None:
         """A registered server."""
         return self._servers.get(server_id)
--- a/src/teaselrock/coordination/routed.py
+++ b/src/teaselrock/coordination/routed.py
@@ -19,6 +19,7 @@
 from teaselrock.coordination.ports import Permission
 from teaselrock.coordination.ports import ReportRow
 from teaselrock.coordination.ports import SlotSource
+from teaselrock.coordination.routing import BudgetCounts
 from teaselrock.coordination.routing import LatencyHedges
 from teaselrock.coordination.routing import WindowedBudget
 from teaselrock.state import Answer
@@ -74,9 +75,14 @@
         self._slots = slots
         self._connections = connections
         self._bounds = bounds
-        self._budgets: dict[str, AttemptBudget] = {}
+        self._budgets: dict[str, WindowedBudget] = {}
         self._runners: dict[tuple[str, str], AttemptRunner] = {}
 
+    @property
+    def repeats(self) -> dict[str, BudgetCounts]:
+        """Retries and hedges by service."""
+        return {name: one.counts for name, one in self._budgets.items()}
+
     async def run(
         self,
         *,
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import random
 from typing import Final
 from typing import NamedTuple
 from typing import TypeVar
 
+from teaselrock.coordination.choice import CheckCounts
 from teaselrock.coordination.choice import CheckedSlots
 from teaselrock.coordination.choice import ColdLimits
 from teaselrock.coordination.choice import LoadChecks
@@ -19,6 +21,8 @@
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.dispatch import Dispatcher
 from teaselrock.coordination.events import Events
+from teaselrock.coordination.logged_report import AttemptObserver
+from teaselrock.coordination.logged_report import LoggedReport
 from teaselrock.coordination.ports import BackendConnector
 from teaselrock.coordination.ports import ObjectSource
 from teaselrock.coordination.ports import RelayLink
@@ -33,10 +37,10 @@
 from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.watch import SHORT_WAIT_S
 from teaselrock.coordination.registry.watch import WAIT_S
-from teaselrock.coordination.reporting.logged import LoggedReport
 from teaselrock.coordination.routed import BudgetBounds
 from teaselrock.coordination.routed import RouteAdmission
 from teaselrock.coordination.routed import RouteRunners
+from teaselrock.coordination.routing import BudgetCounts
 from teaselrock.coordination.unlimited import UnlimitedAllowances
 from teaselrock.coordination.unlimited import UnsharedRecords
 from teaselrock.state import AvailabilityZone
@@ -64,6 +68,7 @@
     roster: Roster
     link: RelayLink
     events: Events
+    attempts: AttemptObserver
 
 
 class RoutedOptions(NamedTuple):
@@ -80,6 +85,20 @@
     budget: BudgetBounds = BudgetBounds()
 
 
+class RoutedReadings(NamedTuple):
+    """What one instance shows of its parts.
+
+    `view_age` is in seconds; `servers` and `repeats` are by service.
+    """
+
+    view_age: float
+    is_watching: bool
+    idle_connections: int
+    servers: Mapping[str, int]
+    checks: CheckCounts
+    repeats: Mapping[str, BudgetCounts]
+
+
 class RoutedInstance:
     """One instance: its parts, started and stopped together."""
 
@@ -102,11 +121,12 @@
             events=ports.events,
             on_gone=self._forget_server,
         )
+        self._watch = self._make_watch(ports, contact)
         self._relay = RegionRelay(
             own=own,
             link=ports.link,
             sync=self._sync,
-            watch=self._make_watch(ports, contact),
+            watch=self._watch,
             events=ports.events,
         )
         self._cold = ColdLimits(
@@ -119,31 +139,33 @@
             idle_limit=SharedIdleLimit(view=self._view, cold=self._cold),
         )
         standings = Standings()
+        self._checks = LoadChecks(
+            connector=ports.connector,
+            connections=self._connections,
+            standings=standings,
+            events=ports.events,
+        )
         self._slots = CheckedSlots(
             own=AvailabilityZone(own.region, own.zone),
             view=self._view,
-            checks=LoadChecks(
-                connector=ports.connector,
-                connections=self._connections,
-                standings=standings,
-                events=ports.events,
-            ),
+            checks=self._checks,
             cold=self._cold,
             standings=standings,
             estimates=WorkEstimates(),
             rng=random.Random(rng.getrandbits(64)),
         )
+        self._runners = RouteRunners(
+            slots=self._slots,
+            connections=self._connections,
+            bounds=options.budget,
+        )
         self._dispatcher = Dispatcher(
             readiness=self._view,
             admission=RouteAdmission(regions=options.regions),
-            attempts=RouteRunners(
-                slots=self._slots,
-                connections=self._connections,
-                bounds=options.budget,
-            ),
+            attempts=self._runners,
             records=UnsharedRecords(),
             allowances=UnlimitedAllowances(),
-            report=LoggedReport(events=ports.events),
+            report=LoggedReport(events=ports.events, observer=ports.attempts),
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -157,6 +179,18 @@
         """Routes, servers and zones as this instance knows them."""
         return self._view
 
+    @property
+    def readings(self) -> RoutedReadings:
+        """Counts of the parts."""
+        return RoutedReadings(
+            self._relay.view_age,
+            self._watch.is_running,
+            self._connections.idle_count,
+            self._view.in_service,
+            self._checks.counts,
+            self._runners.repeats,
+        )
+
     def set_cold_bounds(self, *, overshoot: float, slack: float) -> None:
         """Change what cold servers bear; see `RoutedOptions`."""
         self._cold.set_bounds(overshoot=overshoot, slack=slack)
--- a/src/teaselrock/coordination/routing/__init__.py
+++ b/src/teaselrock/coordination/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing: fair queues, zone order, ejection, readings and budgets."""
 
+from teaselrock.coordination.routing.budget import BudgetCounts
 from teaselrock.coordination.routing.budget import LatencyHedges
 from teaselrock.coordination.routing.budget import RetryBudget
 from teaselrock.coordination.routing.budget import WindowedBudget
@@ -10,6 +11,7 @@
 from teaselrock.coordination.routing.zones import zone_order
 
 __all__ = (
+    'BudgetCounts',
     'Ejections',
     'FairQueue',
     'LatencyHedges',
--- a/src/teaselrock/coordination/routing/budget.py
+++ b/src/teaselrock/coordination/routing/budget.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import deque
 from typing import Final
+from typing import NamedTuple
 
 RETRY_SHARE: Final = 0.1
 # Lets a quiet instance retry at all; also the largest burst.
@@ -39,6 +40,13 @@
         return True
 
 
+class BudgetCounts(NamedTuple):
+    """Extra attempts since the start of the instance."""
+
+    granted: int = 0
+    denied: int = 0
+
+
 class WindowedBudget:
     """`AttemptBudget` of one service: a share of the last seconds' requests.
 
@@ -52,6 +60,12 @@
         self._extra = extra
         self._firsts: deque[float] = deque()
         self._spent: deque[float] = deque()
+        self._counts = BudgetCounts()
+
+    @property
+    def counts(self) -> 'BudgetCounts':
+        """Extra attempts that were asked for."""
+        return self._counts
 
     def on_first_attempt(self) -> None:
         """Count a first attempt."""
@@ -61,8 +75,11 @@
         """Take one extra attempt if the window allows."""
         now = self._expire()
         allowed = self._share * len(self._firsts) + self._extra
+        counts = self._counts
         if len(self._spent) + 1 > allowed:
+            self._counts = counts._replace(denied=counts.denied + 1)
             return False
+        self._counts = counts._replace(granted=counts.granted + 1)
         self._spent.append(now)
         return True
 
--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -33,6 +33,7 @@
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.options import GatewayOptions
 from teaselrock.daemon.settings import GatewaySettings
+from teaselrock.daemon.slot_metrics import SlotCollector
 from teaselrock.protocol import MessageCodec
 from teaselrock.protocol.documents import JsonDocumentCodec
 from teaselrock.protocol.messages import KINDS
@@ -143,7 +144,7 @@
         self._metrics.watch(
             directory=self._instance.directory,
             in_flight=lambda: self._instance.dispatcher.in_flight,
-            read=lambda: readings.read(self._instance),
+            parts=SlotCollector(read=lambda: readings.read(self._instance)),
         )
         self._front = FrontEnd(
             dispatcher=self._instance.dispatcher,
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -1,11 +1,12 @@
 """Prometheus metrics of one gateway, in a registry of its own.
 
-Implements `RequestObserver`. Labels are customers and services of the
-configuration, never anything that a caller sends.
+Implements `RequestObserver` and `AttemptObserver`; `slot_metrics` and
+`routed_metrics` collect what differs between kinds of instances. Labels are
+customers and services of the configuration, never anything that a caller
+sends.
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
 from typing import Final
 
 import prometheus_client
@@ -13,14 +14,10 @@
 from prometheus_client import Counter
 from prometheus_client import Gauge
 from prometheus_client import Histogram
-from prometheus_client.metrics_core import CounterMetricFamily
-from prometheus_client.metrics_core import GaugeMetricFamily
-from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import Directory
-from teaselrock.daemon.readings import Readings
 from teaselrock.state.configuration import Document
 
 MAX_CUSTOMERS: Final = 200
@@ -44,110 +41,6 @@
 )
 
 
-class _PartsCollector(Collector):
-    """Gauges and counters of the parts, from one set of readings."""
-
-    def __init__(self, *, read: Callable[[], Readings]) -> None:
-        self._read = read
-
-    def collect(self) -> Iterator[Metric]:
-        """All metrics of the parts."""
-        read = self._read()
-        members = GaugeMetricFamily(
-            'teaselrock_members',
-            'Known members by state, this instance included.',
-            labels=('state',),
-        )
-        for state, count in sorted(read.members.items()):
-            members.add_metric((state,), count)
-        yield members
-        for name, text, value in _gauges(read):
-            yield GaugeMetricFamily(name, text, value)
-        for name, text, value in _counters(read):
-            yield CounterMetricFamily(name, text, value)
-
-
-_Values = tuple[tuple[str, str, int], ...]
-
-
-def _gauges(read: Readings) -> _Values:
-    return (
-        ('teaselrock_slots_held', 'Slots borrowed.', read.slots_held),
-        ('teaselrock_slots_lent', 'Slots lent.', read.slots_lent),
-        (
-            'teaselrock_report_rows_held',
-            'Report rows in memory, own and kept ones.',
-            read.rows_held,
-        ),
-        (
-            'teaselrock_record_ends_pending',
-            'Ends of idempotency claims that are not written yet.',
-            read.ends_pending,
-        ),
-    )
-
-
-def _counters(read: Readings) -> _Values:
-    peers = read.peers
-    return (
-        (
-            'teaselrock_report_rows_unconfirmed',
-            "Rows answered without a keeper's acknowledgement.",
-            read.rows_unconfirmed,
-        ),
-        (
-            'teaselrock_report_refusals_dropped',
-            'Rows of refusals that found no memory.',
-            read.refusals_dropped,
-        ),
-        (
-            'teaselrock_record_ends_dropped',
-            'Ends of claims that were not kept; their keys stay claimed.',
-            read.ends_dropped,
-        ),
-        (
-            'teaselrock_control_messages',
-            'Control messages sent.',
-            peers.sent_messages,
-        ),
-        (
-            'teaselrock_control_bytes',
-            'Control bytes sent.',
-            peers.sent_bytes,
-        ),
-        (
-            'teaselrock_control_cross_region_bytes',
-            'Control bytes sent to other regions.',
-            peers.cross_region_bytes,
-        ),
-        (
-            'teaselrock_request_data_messages',
-            'Messages of idempotency and report sent.',
-            peers.data_messages,
-        ),
-        (
-            'teaselrock_request_data_bytes',
-            'Bytes of idempotency and report sent.',
-            peers.data_bytes,
-        ),
-        (
-            'teaselrock_messages_over_budget',
-            'Messages dropped because a budget was used up.',
-            peers.over_budget,
-        ),
-        (
-            'teaselrock_messages_dropped',
-            'Messages dropped because a queue was full.',
-            peers.dropped_by_link + peers.dropped_at_inbox,
-        ),
-        (
-            'teaselrock_message_handlers_failed',
-            'Messages whose handler raised an error.',
-            peers.failed_handlers,
-        ),
-    )
-
-
 class GatewayMetrics:
     """Metrics of one gateway."""
 
@@ -170,6 +63,12 @@
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
+        self._attempts = Counter(
+            'teaselrock_attempts',
+            'Requests sent to backend servers by reason and end.',
+            ('service', 'reason', 'end'),
+            registry=self._registry,
+        )
         self._events = Counter(
             'teaselrock_events',
             'Events, those left out of the log included.',
@@ -192,9 +91,12 @@
         *,
         directory: Directory,
         in_flight: Callable[[], int],
-        read: Callable[[], Readings] = Readings,
+        parts: Collector,
     ) -> None:
-        """Measure an instance; the callables run in other threads."""
+        """Measure an instance and its parts.
+
+        The callables and the collector may run in other threads.
+        """
         self._directory = directory
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             (
@@ -215,7 +117,7 @@
         )
         for name, text, value in gauges:
             Gauge(name, text, registry=self._registry).set_function(value)
-        self._registry.register(_PartsCollector(read=read))
+        self._registry.register(parts)
 
     def exposition(self) -> bytes:
         """All metrics in the Prometheus text format."""
@@ -236,6 +138,10 @@
         self._requests.labels(customer, service, verdict, code or NONE).inc()
         self._seconds.labels(customer, service).observe(seconds)
 
+    def on_attempt(self, *, service: str, reason: str, end: str) -> None:
+        """Count an attempt's end."""
+        self._attempts.labels(service or NONE, reason, end).inc()
+
     def on_event(self, event: Event) -> None:
         """Count an event."""
         self._events.labels(event.name.lower().replace('_', '-')).inc()
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -24,6 +24,7 @@
 from teaselrock.coordination.routed_instance import RoutedPorts
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
+from teaselrock.daemon.routed_metrics import RoutedCollector
 from teaselrock.platform import documents
 from teaselrock.platform import headers
 from teaselrock.platform import settings as platform_settings
@@ -112,6 +113,10 @@
         self._metrics.watch(
             directory=_MeasuredView(view=view, is_ready=lambda: self.is_ready),
             in_flight=lambda: self._instance.dispatcher.in_flight,
+            parts=RoutedCollector(
+                read=lambda: self._instance.readings,
+                store_calls=lambda: self._store.calls,
+            ),
         )
         self._port = CallerPort(
             service=RoutedFront(
@@ -246,6 +251,7 @@
                     on_invalid=self._on_invalid_frame,
                 ),
                 events=self._events,
+                attempts=self._metrics,
             ),
             options=RoutedOptions(
                 own=RosterEntry(
--- /dev/null
+++ b/src/teaselrock/daemon/slot_metrics.py
@@ -0,0 +1,118 @@
+"""Metrics of the parts of an instance that shares slots.
+
+`metrics` registers the collector; `readings` takes the values.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from prometheus_client.metrics_core import CounterMetricFamily
+from prometheus_client.metrics_core import GaugeMetricFamily
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
+
+from teaselrock.daemon.readings import Readings
+
+
+class SlotCollector(Collector):
+    """Gauges and counters of the parts, from one set of readings."""
+
+    def __init__(self, *, read: Callable[[], Readings]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterator[Metric]:
+        """All metrics of the parts."""
+        read = self._read()
+        members = GaugeMetricFamily(
+            'teaselrock_members',
+            'Known members by state, this instance included.',
+            labels=('state',),
+        )
+        for state, count in sorted(read.members.items()):
+            members.add_metric((state,), count)
+        yield members
+        for name, text, value in _gauges(read):
+            yield GaugeMetricFamily(name, text, value)
+        for name, text, value in _counters(read):
+            yield CounterMetricFamily(name, text, value)
+
+
+_Values = tuple[tuple[str, str, int], ...]
+
+
+def _gauges(read: Readings) -> _Values:
+    return (
+        ('teaselrock_slots_held', 'Slots borrowed.', read.slots_held),
+        ('teaselrock_slots_lent', 'Slots lent.', read.slots_lent),
+        (
+            'teaselrock_report_rows_held',
+            'Report rows in memory, own and kept ones.',
+            read.rows_held,
+        ),
+        (
+            'teaselrock_record_ends_pending',
+            'Ends of idempotency claims that are not written yet.',
+            read.ends_pending,
+        ),
+    )
+
+
+def _counters(read: Readings) -> _Values:
+    peers = read.peers
+    return (
+        (
+            'teaselrock_report_rows_unconfirmed',
+            "Rows answered without a keeper's acknowledgement.",
+            read.rows_unconfirmed,
+        ),
+        (
+            'teaselrock_report_refusals_dropped',
+            'Rows of refusals that found no memory.',
+            read.refusals_dropped,
+        ),
+        (
+            'teaselrock_record_ends_dropped',
+            'Ends of claims that were not kept; their keys stay claimed.',
+            read.ends_dropped,
+        ),
+        (
+            'teaselrock_control_messages',
+            'Control messages sent.',
+            peers.sent_messages,
+        ),
+        (
+            'teaselrock_control_bytes',
+            'Control bytes sent.',
+            peers.sent_bytes,
+        ),
+        (
+            'teaselrock_control_cross_region_bytes',
+            'Control bytes sent to other regions.',
+            peers.cross_region_bytes,
+        ),
+        (
+            'teaselrock_request_data_messages',
+            'Messages of idempotency and report sent.',
+            peers.data_messages,
+        ),
+        (
+            'teaselrock_request_data_bytes',
+            'Bytes of idempotency and report sent.',
+            peers.data_bytes,
+        ),
+        (
+            'teaselrock_messages_over_budget',
+            'Messages dropped because a budget was used up.',
+            peers.over_budget,
+        ),
+        (
+            'teaselrock_messages_dropped',
+            'Messages dropped because a queue was full.',
+            peers.dropped_by_link + peers.dropped_at_inbox,
+        ),
+        (
+            'teaselrock_message_handlers_failed',
+            'Messages whose handler raised an error.',
+            peers.failed_handlers,
+        ),
+    )
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+from collections import Counter
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 from typing import Final
 from typing import Generic
@@ -99,6 +101,12 @@
         )
         self._connector = HttpConnector(dialect=_PlainDialect())
         self._idle: deque[BackendConnection] = deque()
+        self._calls: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> Mapping[str, int]:
+        """Calls by outcome: `ok` or the kind of error."""
+        return self._calls
 
     async def call(
         self,
@@ -113,6 +121,20 @@
 
         `timeout` is in seconds.
         """
+        result = await self._call(method, path, query, body, timeout)
+        self._calls[
+            result.error.kind.value if result.is_error() else 'ok'
+        ] += 1
+        return result
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int] | None,
+        body: Any,
+        timeout: float,
+    ) -> Result[Any, StoreError]:
         target = path if not query else f'{path}?{urlencode(query)}'
         content = Content(
             method,
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -13,6 +13,8 @@
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.metrics import MAX_CUSTOMERS
 from teaselrock.daemon.options import empty_document
+from teaselrock.daemon.readings import Readings
+from teaselrock.daemon.slot_metrics import SlotCollector
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -78,7 +80,11 @@
         }
     directory = FixedDirectory(document=document, servers=())
     metrics = GatewayMetrics()
-    metrics.watch(directory=directory, in_flight=lambda: 3)
+    metrics.watch(
+        directory=directory,
+        in_flight=lambda: 3,
+        parts=SlotCollector(read=Readings),
+    )
     for name in (*document['customers'], 'unknown', ''):
         metrics.on_request(
             customer=name, service='desk', seconds=0.1, verdict='ran', code=''
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -3,11 +3,17 @@
 import pathlib
 import re
 
+from prometheus_client.registry import Collector
 import pytest
 
+from teaselrock.coordination.choice import CheckCounts
+from teaselrock.coordination.routed_instance import RoutedReadings
 from teaselrock.coordination.unlimited import FixedDirectory
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.options import empty_document
+from teaselrock.daemon.readings import Readings
+from teaselrock.daemon.routed_metrics import RoutedCollector
+from teaselrock.daemon.slot_metrics import SlotCollector
 from teaselrock.protocol import checker
 from teaselrock.protocol import problem
 from teaselrock.state import RefusalCode
@@ -46,18 +52,27 @@
     assert result.is_ok(), result.error
 
 
-def test_metrics_are_listed() -> None:
-    """Guards against metrics and alerts that the page or the code lacks."""
-    page = (ROOT / 'docs/operators/metrics.md').read_text('utf-8')
+def _served(parts: Collector) -> set[tuple[str, str]]:
+    """Names and types of the metrics of one kind of instance."""
     metrics = GatewayMetrics()
     metrics.watch(
         directory=FixedDirectory(document=empty_document(), servers=()),
         in_flight=lambda: 0,
+        parts=parts,
     )
     served = re.findall(
         r'^# TYPE (\w+) (\w+)$', metrics.exposition().decode(), re.M
     )
-    real = {(n, k) for n, k in served if not n.endswith('_created')}
+    return {(n, k) for n, k in served if not n.endswith('_created')}
+
+
+def test_metrics_are_listed() -> None:
+    """Guards against metrics and alerts that the page or the code lacks."""
+    page = (ROOT / 'docs/operators/metrics.md').read_text('utf-8')
+    readings = RoutedReadings(0.0, False, 0, {}, CheckCounts(), {})
+    real = _served(SlotCollector(read=Readings)) | _served(
+        RoutedCollector(read=lambda: readings, store_calls=dict)
+    )
     table = re.findall(r'^\| `(teaselrock_\w+)` \| (\w+) \|', page, re.M)
     assert sorted(table) == sorted(real)
     alerts = page.partition('## Alerts')[2]
