Log what each choice was based on

A row named the servers of a request, but not why they were chosen. Each attempt now ends with the expected time, the load and work factor that the check showed, how long the check took and how many servers answered.

--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -273,6 +273,7 @@
             reason=slot.reason,
             outcome=outcome,
             verdict=verdict,
+            evidence=slot.evidence,
         )
         if outcome.load is not None and self._on_load is not None:
             self._on_load(slot.server, outcome.load)
--- a/src/teaselrock/coordination/baselines.py
+++ b/src/teaselrock/coordination/baselines.py
@@ -106,6 +106,11 @@
         """Why this server was chosen."""
         return self._reason
 
+    @property
+    def evidence(self) -> str:
+        """Nothing: slots are counted, not measured."""
+        return ''
+
     @property
     def is_valid(self) -> bool:
         """Local slots do not expire."""
--- a/src/teaselrock/coordination/choice/checked.py
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -67,9 +67,11 @@
         route: Route,
         check: Check,
         expected: float,
+        checked: int,
         reason: AttemptReason,
     ) -> None:
         self._source = source
+        self._checked = checked
         self._route = route
         self._check = check
         self._expected = expected
@@ -90,6 +92,22 @@
         """Why this server was chosen."""
         return self._reason
 
+    @property
+    def evidence(self) -> str:
+        """Expected time, load and age of the check, and what it beat.
+
+        `120ms,2+0of3x1.5,4ms,5`: 120 ms expected; 2 requests running and
+        none waiting on 3 slots, work takes 1.5 times as long as usual; the
+        check took 4 ms; 5 servers answered checks.
+        """
+        load = self._check.load
+        took = self._check.ended - self._check.started
+        return (
+            f'{self._expected * 1000:.0f}ms,'
+            f'{load.in_flight}+{load.waiting}of{load.bears}'
+            f'x{load.work_factor:g},{took * 1000:.0f}ms,{self._checked}'
+        )
+
     @property
     def is_valid(self) -> bool:
         """Whether the server may still get new work."""
@@ -194,6 +212,7 @@
                 route=route,
                 check=chosen.check,
                 expected=chosen.expected,
+                checked=len(found),
                 reason=reason or self._reason(chosen.check.server.zone),
             )
         )
--- a/src/teaselrock/coordination/logged_report.py
+++ b/src/teaselrock/coordination/logged_report.py
@@ -48,15 +48,16 @@
         reason: AttemptReason,
         outcome: AttemptOutcome,
         verdict: Verdict,
+        evidence: str,
     ) -> None:
-        """Add an attempt as `server/zone/reason/end/ms`."""
+        """Add an attempt as `server/zone/reason/end/ms/evidence`."""
         end = outcome.failure.value if outcome.failure is not None else 'ok'
         self._observer.on_attempt(
             service=server.service, reason=reason.value, end=end
         )
         self._attempts.append(
             f'{server.server_id}/{server.zone.name}/{reason.value}/{end}/'
-            f'{outcome.latency * 1000:.0f}'
+            f'{outcome.latency * 1000:.0f}/{evidence}'
         )
 
     async def finish(
--- a/src/teaselrock/coordination/ports/parts.py
+++ b/src/teaselrock/coordination/ports/parts.py
@@ -71,6 +71,11 @@
         """Whether a request may still start on the slot."""
         ...
 
+    @property
+    def evidence(self) -> str:
+        """What the choice was based on, for the log; '' if nothing new."""
+        ...
+
     @property
     def connection(self) -> BackendConnection | None:
         """Connection to use, None to take one from the pool."""
@@ -187,8 +192,9 @@
         reason: AttemptReason,
         outcome: AttemptOutcome,
         verdict: Verdict,
+        evidence: str,
     ) -> None:
-        """Add an attempt that ended."""
+        """Add an attempt that ended; `evidence` is that of its slot."""
         ...
 
     async def finish(
--- a/src/teaselrock/coordination/reporting/row.py
+++ b/src/teaselrock/coordination/reporting/row.py
@@ -75,6 +75,7 @@
         reason: AttemptReason,
         outcome: AttemptOutcome,
         verdict: Verdict,
+        evidence: str,
     ) -> None:
         """Add an attempt that ended."""
         attempt = RowAttempt(
--- a/src/teaselrock/coordination/slots/holdings.py
+++ b/src/teaselrock/coordination/slots/holdings.py
@@ -78,6 +78,11 @@
         """Why this server was chosen."""
         return self._reason
 
+    @property
+    def evidence(self) -> str:
+        """Nothing: slots are counted, not measured."""
+        return ''
+
     @property
     def is_valid(self) -> bool:
         """Whether a request may still start on the slot."""
--- a/src/teaselrock/coordination/unlimited.py
+++ b/src/teaselrock/coordination/unlimited.py
@@ -140,6 +140,7 @@
         reason: AttemptReason,
         outcome: AttemptOutcome,
         verdict: Verdict,
+        evidence: str,
     ) -> None:
         pass
 
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -33,7 +33,7 @@
     Event.STORE_REGAINED: 5,
 }
 # Fields are names, counts and error details of this system.
-MAX_FIELD_CHARS: Final = 300
+MAX_FIELD_CHARS: Final = 400
 
 # Events that are not of level INFO.
 LEVELS: Final[dict[Event, int]] = dict.fromkeys(
--- a/tests/records/test_report.py
+++ b/tests/records/test_report.py
@@ -58,6 +58,7 @@
         reason=AttemptReason.SPILL_LOAD,
         outcome=AttemptOutcome(seconds),
         verdict=Verdict.RAN,
+        evidence='',
     )
     await opened.ok.finish(verdict=Verdict.RAN, units=2, refusal=None)
     return None
