Follow watchers of later ranks while the first ones lack the store

An instance that relies on no watcher now follows one more instance for each step by which ranks take over, up to ten, and stays with the one that watches for it. Ruled out: the compaction of the store's history in the same second; the new watchers had the version 0.5 s after it.

--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -45,8 +45,11 @@
 SLOW_RANK_STEP_S: Final = 3.0
 # Instances that one instance follows.
 FOLLOWED: Final = 3
-# The same, while some of them may turn out to be gone.
-MAX_FOLLOWED: Final = 6
+# The same, while none of them watches a store that answers: the ranks that
+# take over early, and a few in case that those are gone.
+MAX_FOLLOWED: Final = 10
+# Instances more that are asked at a time, since some may be gone.
+SPARE_FOLLOWED: Final = 3
 RECONNECT_S: Final = 5.0
 TICK_S: Final = 0.1
 
@@ -59,6 +62,14 @@
     at: float
     is_connected: bool
 
+    def is_fresh(self, now: float) -> bool:
+        """Whether the watcher still beats."""
+        return now - self.at <= BEAT_TIMEOUT_S
+
+    def is_usable(self, now: float) -> bool:
+        """Whether the watcher beats and the store answers it."""
+        return self.is_connected and self.is_fresh(now)
+
 
 class _Follower:
     """An instance that follows this one."""
@@ -155,8 +166,8 @@
             for one in self._ranked[: self.rank]
             if one.instance_id in self._heard
         ]
-        fresh = [one for one in beats if now - one.at <= BEAT_TIMEOUT_S]
-        if any(one.is_connected for one in fresh):
+        fresh = [one for one in beats if one.is_fresh(now)]
+        if any(one.is_usable(now) for one in fresh):
             self._relied_at = now
             if self._watch.is_running:
                 await self._watch.stop()
@@ -184,8 +195,16 @@
                 self._followed[name] = asyncio.create_task(self._follow(entry))
 
     def _wanted(self) -> dict[str, RosterEntry]:
-        """Instances to follow, until enough of them are connected."""
+        """Instances to follow, until enough of them are connected.
+
+        The first ones may all be without the store, so that others are
+        followed too, one for each step by which the ranks take over.
+        """
         now = asyncio.get_running_loop().time()
+        count = FOLLOWED
+        late = now - self._relied_at - OUTAGE_TIMEOUT_S
+        if late > 0:
+            count = min(MAX_FOLLOWED, FOLLOWED + 1 + int(late / RANK_STEP_S))
         wanted: dict[str, RosterEntry] = {}
         connected = 0
         for entry in self._ranked:
@@ -197,8 +216,13 @@
                 continue
             wanted[name] = entry
             connected += name in self._connected
-            if connected == FOLLOWED or len(wanted) == MAX_FOLLOWED:
+            if connected >= count or len(wanted) >= count + SPARE_FOLLOWED:
                 break
+        # The instance that watches for this one may have a later rank.
+        for entry in self._ranked:
+            heard = self._heard.get(entry.instance_id)
+            if heard is not None and heard.is_usable(now):
+                wanted[entry.instance_id] = entry
         return wanted
 
     async def _follow(self, entry: RosterEntry) -> None:
--- a/tests/registry/test_following.py
+++ b/tests/registry/test_following.py
@@ -99,6 +99,36 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize('refused', [4, 5, 6])
+def test_first_ranks_that_the_store_turns_away_are_passed_by(
+    refused: int,
+) -> None:
+    """Guards against followers that hear only of watchers without a store.
+
+    On a day of hb-clockworks-grown the first five instances of a region
+    were cut off from the store. The sixth watched it, but nobody followed
+    that one, and a version was in force up to 7 s late.
+    """
+
+    async def main() -> None:
+        region = Region(30)
+        await region.start()
+        ranked = sorted(region.members, key=lambda one: one.relay.rank)
+        region.refused.update(
+            one.entry.instance_id for one in ranked[:refused]
+        )
+        await asyncio.sleep(5.0)
+        region.kinds[0].put('main', table(5))
+        await asyncio.sleep(FORCE_S / 2)
+        assert {one.view.table.version for one in region.members} == {5}
+        # Once they are back, the first one watches for all again.
+        region.refused.clear()
+        await asyncio.sleep(3.0)
+        assert region.watchers() == [ranked[0]]
+
+    run_paused(main())
+
+
 def test_store_outage_costs_few_calls() -> None:
     """Guards against all instances calling a store that is down."""
 
