Tell a request's story from the gateways' logs

Engineers searched the logs by hand. `teaselrock explain ID FILE...` reads logs line by line and prints each row of the request with what its instance knew then: version of the routes, contact to the store, last change of each server that was tried; as text or JSON.

--- a/src/teaselrock/cli/main.py
+++ b/src/teaselrock/cli/main.py
@@ -17,6 +17,7 @@
 from teaselrock.cli import check
 from teaselrock.cli import diff
 from teaselrock.cli import exits
+from teaselrock.cli import explain
 from teaselrock.cli import out
 from teaselrock.cli import report
 from teaselrock.cli import rollforward
@@ -38,6 +39,12 @@
 _ALWAYS: Final = (
     _Command('check', 'check a configuration file', check.add, check.run),
     _Command('status', 'show the state of gateways', status.add, status.run),
+    _Command(
+        'explain',
+        "tell a request's story from logs",
+        explain.add,
+        explain.run,
+    ),
     _Command('gateway', 'run a gateway', serve.add, serve.run),
 )
 _ADMIN: Final = (
--- a/src/teaselrock/transport/routed_front.py
+++ b/src/teaselrock/transport/routed_front.py
@@ -110,7 +110,9 @@
             if parsed.is_ok():
                 result = await self._dispatcher.dispatch(request=parsed.ok)
             else:
-                result = Error(parsed.error)
+                result = self._dispatcher.refuse(
+                    request=_unrouted(request, caller), refusal=parsed.error
+                )
             verdict, code = _outcome(result)
         finally:
             self._observer.on_request(
@@ -181,6 +183,17 @@
         return CallerAnswer(status, tuple(headers), problem.body(refusal))
 
 
+def _unrouted(http: CallerRequest, caller: CallerFields) -> Request:
+    """A request without a route, as the report names it."""
+    return Request(
+        customer='',
+        service='',
+        content=Content(http.method, http.target, (), b''),
+        deadline=asyncio.get_running_loop().time(),
+        request_id=caller.request_id,
+    )
+
+
 def _status(refusal: Refusal) -> int:
     """HTTP status; 503 only if the request did not run."""
     if refusal.code in (RefusalCode.UNKNOWN_SERVICE, RefusalCode.BAD_REQUEST):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -246,7 +246,7 @@
 def test_commands_without_services() -> None:
     """Guards against commands that are offered but cannot work."""
     offered = cli.make_parser(CliServices()).format_usage()
-    assert '{check,status,gateway}' in offered
+    assert '{check,status,explain,gateway}' in offered
 
 
 def test_report_completeness(capsys: pytest.CaptureFixture[str]) -> None:
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,33 @@
+"""Runs scenarios of a gateway on the platform."""
+
+import asyncio
+import pathlib
+
+from gateway_world import Run
+from gateway_world import Scenario
+from gateway_world import World
+import pytest
+
+from teaselrock.daemon import platform_gateway
+
+
+@pytest.fixture(name='run')
+def run_fixture(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> Run:
+    """Runs a scenario in a started world."""
+    monkeypatch.setattr(platform_gateway, 'STOP_DELAY_S', 0.01)
+
+    def run(scenario: Scenario) -> None:
+        async def main() -> None:
+            world = World()
+            try:
+                async with asyncio.timeout(30):
+                    await world.start(tmp_path / 'local.json')
+                    await scenario(world)
+            finally:
+                await world.stop()
+
+        asyncio.run(main())
+
+    return run
--- /dev/null
+++ b/tests/platform/gateway_world.py
@@ -0,0 +1,124 @@
+"""A gateway of the platform between stand-ins, on loopback."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+import pathlib
+import socket
+from typing import Any
+
+from platform_world import PlatformServer
+from platform_world import PlatformStore
+
+from teaselrock.daemon.platform_gateway import PlatformGateway
+from teaselrock.platform import headers
+from teaselrock.platform import settings as platform_settings
+
+ROUTE: dict[str, Any] = {
+    'name': 'lookup',
+    'path_prefix': '/x/',
+    'kind': 'idempotent',
+    'timeout_ms': 1500,
+    'target_latency_ms': 600,
+    'priority': 1,
+    'service': 'desk',
+    'max_attempts': 2,
+}
+BUILD = {
+    **ROUTE,
+    'name': 'build',
+    'path_prefix': '/b/',
+    'kind': 'non_idempotent',
+}
+
+
+def table(version: str, *paths: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'version': version,
+        'services': [{'name': 'desk', 'cold_per_s': 6.3}],
+        'virtual_hosts': [{'host': 'a.example', 'paths': list(paths)}],
+    }
+
+
+class World:
+    """Store, two servers and a gateway."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStore()
+        self.servers = [PlatformServer('i-1'), PlatformServer('i-2')]
+        self.gateway: PlatformGateway | None = None
+        self.callers = ''
+
+    async def start(self, path: pathlib.Path) -> None:
+        ports = _free_ports(3)
+        settings = {
+            'node_name': 'edge-1',
+            'ip': '127.0.0.1',
+            'zone': 'east-a',
+            'region': 'east',
+            'zones': {'east-a': 'east'},
+            'listen': {
+                'front': f'127.0.0.1:{ports[0]}',
+                'readiness_addr': f'127.0.0.1:{ports[1]}',
+            },
+            'port_range': [ports[2], ports[2] + 1],
+            'bounds': ['cold_overshoot=1.5', 'cold_slack=5', 'grace_s=3.2'],
+            'platform': {'address': await self.store.http.start()},
+        }
+        path.write_text(json.dumps(settings), 'utf-8')
+        self.store.put('config', 'main', table('0000000a', ROUTE, BUILD))
+        for server in self.servers:
+            await server.http.start()
+            self.store.put('servers', server.server_id, server.entry())
+        self.store.put('servers', 'foreign', {'slots': 'many'})
+        self.gateway = PlatformGateway(
+            settings=platform_settings.load(path).ok, path=path
+        )
+        await self.gateway.start()
+        self.callers = f'127.0.0.1:{ports[0]}'
+        while not self.gateway.is_ready:
+            await asyncio.sleep(0.01)
+
+    async def ask(
+        self, target: str, *, method: str = 'GET', deadline: int = 1000
+    ) -> tuple[int, dict[str, str], bytes]:
+        host, _, port = self.callers.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f'{method} {target} HTTP/1.1\r\nHost: a.example\r\n'
+            f'{headers.REQUEST_ID}: id1\r\n'
+            f'{headers.DEADLINE}: {deadline}\r\n'
+            'Connection: close\r\n\r\n'.encode()
+        )
+        data = await reader.read(-1)
+        writer.close()
+        head, _, body = data.partition(b'\r\n\r\n')
+        first, *rest = head.decode().split('\r\n')
+        fields = dict(line.split(': ', 1) for line in rest)
+        return int(first.split()[1]), fields, body
+
+    async def stop(self) -> None:
+        if self.gateway is not None:
+            await self.gateway.stop()
+        self.store.http.stop()
+        for server in self.servers:
+            server.http.stop()
+
+    @property
+    def received(self) -> int:
+        return sum(len(server.received) for server in self.servers)
+
+
+def _free_ports(count: int) -> list[int]:
+    found = [socket.socket() for _ in range(count)]
+    for one in found:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in found]
+    for one in found:
+        one.close()
+    return ports
+
+
+Scenario = Callable[[World], Awaitable[None]]
+Run = Callable[[Scenario], None]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,153 +1,16 @@
-"""A gateway of the platform between stand-ins, on loopback."""
+"""Requests of callers through a gateway on the platform."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-import json
-import pathlib
-import socket
-from typing import Any
-
-from platform_world import PlatformServer
-from platform_world import PlatformStore
-import pytest
-
-from teaselrock.daemon import platform_gateway
-from teaselrock.daemon.platform_gateway import PlatformGateway
-from teaselrock.platform import headers
-from teaselrock.platform import settings as platform_settings
-
-ROUTE: dict[str, Any] = {
-    'name': 'lookup',
-    'path_prefix': '/x/',
-    'kind': 'idempotent',
-    'timeout_ms': 1500,
-    'target_latency_ms': 600,
-    'priority': 1,
-    'service': 'desk',
-    'max_attempts': 2,
-}
-BUILD = {
-    **ROUTE,
-    'name': 'build',
-    'path_prefix': '/b/',
-    'kind': 'non_idempotent',
-}
-
-
-def _table(version: str, *paths: dict[str, Any]) -> dict[str, Any]:
-    return {
-        'version': version,
-        'services': [{'name': 'desk', 'cold_per_s': 6.3}],
-        'virtual_hosts': [{'host': 'a.example', 'paths': list(paths)}],
-    }
-
-
-class World:
-    """Store, two servers and a gateway."""
-
-    def __init__(self) -> None:
-        self.store = PlatformStore()
-        self.servers = [PlatformServer('i-1'), PlatformServer('i-2')]
-        self.gateway: PlatformGateway | None = None
-        self.callers = ''
-
-    async def start(self, path: pathlib.Path) -> None:
-        ports = _free_ports(3)
-        settings = {
-            'node_name': 'edge-1',
-            'ip': '127.0.0.1',
-            'zone': 'east-a',
-            'region': 'east',
-            'zones': {'east-a': 'east'},
-            'listen': {
-                'front': f'127.0.0.1:{ports[0]}',
-                'readiness_addr': f'127.0.0.1:{ports[1]}',
-            },
-            'port_range': [ports[2], ports[2] + 1],
-            'bounds': ['cold_overshoot=1.5', 'cold_slack=5', 'grace_s=3.2'],
-            'platform': {'address': await self.store.http.start()},
-        }
-        path.write_text(json.dumps(settings), 'utf-8')
-        self.store.put('config', 'main', _table('0000000a', ROUTE, BUILD))
-        for server in self.servers:
-            await server.http.start()
-            self.store.put('servers', server.server_id, server.entry())
-        self.store.put('servers', 'foreign', {'slots': 'many'})
-        self.gateway = PlatformGateway(
-            settings=platform_settings.load(path).ok, path=path
-        )
-        await self.gateway.start()
-        self.callers = f'127.0.0.1:{ports[0]}'
-        while not self.gateway.is_ready:
-            await asyncio.sleep(0.01)
-
-    async def ask(
-        self, target: str, *, method: str = 'GET', deadline: int = 1000
-    ) -> tuple[int, dict[str, str], bytes]:
-        host, _, port = self.callers.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            f'{method} {target} HTTP/1.1\r\nHost: a.example\r\n'
-            f'{headers.REQUEST_ID}: id1\r\n'
-            f'{headers.DEADLINE}: {deadline}\r\n'
-            'Connection: close\r\n\r\n'.encode()
-        )
-        data = await reader.read(-1)
-        writer.close()
-        head, _, body = data.partition(b'\r\n\r\n')
-        first, *rest = head.decode().split('\r\n')
-        fields = dict(line.split(': ', 1) for line in rest)
-        return int(first.split()[1]), fields, body
-
-    async def stop(self) -> None:
-        if self.gateway is not None:
-            await self.gateway.stop()
-        self.store.http.stop()
-        for server in self.servers:
-            server.http.stop()
-
-    @property
-    def received(self) -> int:
-        return sum(len(server.received) for server in self.servers)
-
-
-def _free_ports(count: int) -> list[int]:
-    found = [socket.socket() for _ in range(count)]
-    for one in found:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in found]
-    for one in found:
-        one.close()
-    return ports
 
+from gateway_world import ROUTE
+from gateway_world import Run
+from gateway_world import table
+from gateway_world import World
 
-Scenario = Callable[[World], Awaitable[None]]
-
-
-@pytest.fixture(name='run')
-def run_fixture(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> Callable[[Scenario], None]:
-    """Runs a scenario in a started world."""
-    monkeypatch.setattr(platform_gateway, 'STOP_DELAY_S', 0.01)
-
-    def run(scenario: Scenario) -> None:
-        async def main() -> None:
-            world = World()
-            try:
-                async with asyncio.timeout(30):
-                    await world.start(tmp_path / 'local.json')
-                    await scenario(world)
-            finally:
-                await world.stop()
-
-        asyncio.run(main())
-
-    return run
+from teaselrock.platform import headers
 
 
-def test_request_is_served(run: Callable[[Scenario], None]) -> None:
+def test_request_is_served(run: Run) -> None:
     """Guards against an answer that loses its signature or its body."""
 
     async def scenario(world: World) -> None:
@@ -168,7 +31,7 @@
 
 
 def test_failed_lookup_is_repeated_elsewhere(
-    run: Callable[[Scenario], None],
+    run: Run,
 ) -> None:
     """Guards against failures that one more attempt would mend."""
 
@@ -185,7 +48,7 @@
     run(scenario)
 
 
-def test_build_runs_at_most_once(run: Callable[[Scenario], None]) -> None:
+def test_build_runs_at_most_once(run: Run) -> None:
     """Guards against a build that is sent again after it may have run."""
 
     async def scenario(world: World) -> None:
@@ -199,7 +62,7 @@
 
 
 def test_build_that_did_not_run_goes_elsewhere(
-    run: Callable[[Scenario], None],
+    run: Run,
 ) -> None:
     """Guards against refusals of builds that no server has run."""
 
@@ -218,7 +81,7 @@
     run(scenario)
 
 
-def test_late_answer_of_the_server(run: Callable[[Scenario], None]) -> None:
+def test_late_answer_of_the_server(run: Run) -> None:
     """Guards against a false refusal: what may have run is 504."""
 
     async def scenario(world: World) -> None:
@@ -230,14 +93,14 @@
     run(scenario)
 
 
-def test_drains_and_new_versions(run: Callable[[Scenario], None]) -> None:
+def test_drains_and_new_versions(run: Run) -> None:
     """Guards against new work for a leaving server, and old routes."""
 
     async def scenario(world: World) -> None:
         first, second = world.servers
         world.store.put('servers', 'i-1', first.entry(state='draining', seq=2))
         world.store.delete('servers', 'i-2')
-        world.store.put('config', 'main', _table('0000000b', ROUTE))
+        world.store.put('config', 'main', table('0000000b', ROUTE))
         await asyncio.sleep(0.8)
         status, fields, _ = await world.ask('/x/1')
         assert status == 503
@@ -251,7 +114,7 @@
     run(scenario)
 
 
-def test_address_of_another_server(run: Callable[[Scenario], None]) -> None:
+def test_address_of_another_server(run: Run) -> None:
     """Guards against requests to whoever has a server's old address."""
 
     async def scenario(world: World) -> None:
@@ -264,7 +127,7 @@
 
 
 def test_store_outage_leaves_service_alone(
-    run: Callable[[Scenario], None],
+    run: Run,
 ) -> None:
     """Guards against requests that need the store."""
 
