End in time when nobody reads the log

EventLog.stop put its end mark into the full queue and raised queue.Full, and then waited for a thread that may be stuck in a full pipe. It now waits at most 0.25 s for each. Versions, zones and watches get more than one line a second.

--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -21,11 +21,18 @@
 
 QUEUE_LINES: Final = 1000
 REPEAT_INTERVAL_S: Final = 1.0
+# Longest wait at the end for a reader that is too slow; it is part of the
+# grace in which a process has to end.
+STOP_WAIT_S: Final = 0.25
 # Lines of one event within `REPEAT_INTERVAL_S`; other events get one. One
 # line for each request is needed to explain it, up to what a log can take.
 LINES: Final[dict[Event, int]] = {
     Event.REQUEST_ENDED: 200,
     Event.REQUEST_REFUSED: 100,
+    Event.ROUTES_IN_FORCE: 20,
+    Event.ZONES_OUT: 20,
+    Event.WATCH_STARTED: 5,
+    Event.WATCH_ENDED: 5,
     Event.SERVER_REGISTERED: 50,
     Event.SERVER_DRAINS: 50,
     Event.SERVER_GONE: 50,
@@ -84,6 +91,28 @@
         self._on_dropped()
 
 
+class _BoundedListener(logging.handlers.QueueListener):
+    """Ends in time even if nobody reads the output."""
+
+    def __init__(
+        self, lines: queue.Queue[Any], writer: logging.Handler
+    ) -> None:
+        super().__init__(lines, writer)
+        self._lines = lines
+
+    def stop(self) -> None:
+        """Write what is queued, as far as the reader takes it."""
+        thread = self._thread
+        if thread is None:
+            return
+        try:
+            self._lines.put(None, timeout=STOP_WAIT_S)
+        except queue.Full:
+            return
+        thread.join(timeout=STOP_WAIT_S)
+        self._thread = None
+
+
 class EventLog:
     """Writes events; repeated ones at most once a second each."""
 
@@ -113,7 +142,7 @@
                 rename_fields={'levelname': 'level', 'message': 'event'},
             )
         )
-        self._listener = logging.handlers.QueueListener(lines, writer)
+        self._listener = _BoundedListener(lines, writer)
 
     def start(self) -> None:
         """Start the writing thread."""
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -1,7 +1,9 @@
 """Structured logs and metrics of a gateway."""
 
 import io
+import itertools
 import json
+import os
 import pathlib
 import re
 from typing import Any
@@ -70,6 +72,35 @@
     assert listed == expected
 
 
+def test_unread_output_holds_nobody_up() -> None:
+    """Guards against a gateway that waits for the reader of its log.
+
+    Nobody reads the pipe, so that its writer is stuck once it is full.
+    """
+    read_end, write_end = os.pipe()
+    dropped: list[int] = []
+    times = itertools.count()
+    log = EventLog(
+        instance_id='gw-1',
+        level='info',
+        on_event=lambda event: None,
+        on_dropped=lambda: dropped.append(1),
+        stream=os.fdopen(write_end, 'w'),
+        clock=lambda: float(next(times)),
+    )
+    log.start()
+    emitted = 5 * logs.QUEUE_LINES
+    for number in range(emitted):
+        log.emit(event=Event.REQUEST_ENDED, request=f'{number:0300}')
+    # What is neither dropped nor queued fits into the pipe.
+    assert len(dropped) > 2 * logs.QUEUE_LINES
+    # The end does not wait for the reader either.
+    log.stop()
+    with os.fdopen(read_end, 'rb') as stream:
+        for _ in range(emitted - len(dropped)):
+            assert stream.readline()
+
+
 def test_customers_are_bounded() -> None:
     """Guards against one series for each of many customers."""
     document = empty_document()
