Do not count instances as gone that were given up for others

While none of the followed instances has the store, an instance follows more of them, and gives up those of later ranks once enough are connected. Traced with the state of the relay in the log of three instances.

Only a connection that ends by itself makes an instance unreachable now, for 1 s while this one relies on no watcher.

--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -51,6 +51,9 @@
 # Instances more that are asked at a time, since some may be gone.
 SPARE_FOLLOWED: Final = 3
 RECONNECT_S: Final = 5.0
+# The same while this instance relies on no watcher: the sooner it hears of
+# one, the fewer calls it makes itself.
+RECONNECT_LOST_S: Final = 1.0
 TICK_S: Final = 0.1
 
 _Changed = TablesChanged | ServersChanged | ZonesChanged
@@ -250,11 +253,20 @@
             if channel is not None:
                 channel.close()
             self._connected.discard(entry.instance_id)
-            self._unreachable[entry.instance_id] = loop.time() + RECONNECT_S
             self._heard.pop(entry.instance_id, None)
-            # A cancelled task has been removed by whoever cancelled it.
+            # A task that is cancelled has been removed before, and says
+            # nothing of the instance.
             if self._followed.get(entry.instance_id) is asyncio.current_task():
                 del self._followed[entry.instance_id]
+                self._unreachable[entry.instance_id] = (
+                    loop.time() + self._reconnect_after()
+                )
+
+    def _reconnect_after(self) -> float:
+        """Seconds until a lost instance is tried again."""
+        if self.view_age > OUTAGE_TIMEOUT_S:
+            return RECONNECT_LOST_S
+        return RECONNECT_S
 
     def _ask(self, channel: RelayChannel) -> None:
         channel.send(FollowRequest(self._own.instance_id, self._revisions()))
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -197,6 +197,7 @@
         peer = self.region.listening.get(address)
         if peer is None:
             return None
+        self.region.connected.append((self.address, address))
         here, there = MemoryChannel(), MemoryChannel()
         here.other, there.other = there, here
         self.channels.append(here)
@@ -300,6 +301,7 @@
 
     def __init__(self, count: int) -> None:
         self.listening: dict[str, tuple[MemoryRelayLink, OnChannel]] = {}
+        self.connected: list[tuple[str, str]] = []
         self.kinds = (MemoryKind(), MemoryKind(), MemoryKind())
         self.refused: set[str] = set()
         tables, servers, _ = self.kinds
