--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := src
 
-.PHONY: env format lint test demo bench
+.PHONY: env format lint test demo bench soak
 env: $(VENV)/.installed
 
 # ENV_READY=1 uses the environment as it is.
@@ -34,3 +34,8 @@
 
 bench: env
 	$(PY) -m teaselrock.bench short
+
+# Fresh seeds: `make soak SOAK="--seeds 50 --start 1000 --seconds 12"`.
+SOAK ?= --seeds 5 --start 1 --seconds 10
+soak: env
+	$(PY) tests/soak/soak.py $(SOAK)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,10 @@
     str(pathlib.Path(__file__).parent),
 ]
 
+from checks import broken_promises  # noqa: E402
+from checks import Call  # noqa: E402
+from checks import CALM_S  # noqa: E402
+from checks import Trouble  # noqa: E402
 from proxy import Mode  # noqa: E402
 from world import Gateway  # noqa: E402
 from world import World  # noqa: E402
@@ -33,34 +37,9 @@
 DEADLINE_MS: Final = 1500
 # A server's leaving and a change of routes have to be in force by then.
 FORCE_S: Final = 2.0
-# Promises with a time bound hold for gateways that were left alone so long.
-CALM_S: Final = 3.0
-# Timers of this process and the loopback add to each bound.
-TIMER_SLACK_S: Final = 0.3
 _HOST: Final = 'soak.example'
 
 
-class Call(NamedTuple):
-    """What one caller saw; `status` is 0 without an answer."""
-
-    request_id: str
-    gateway: str
-    is_build: bool
-    sent: float
-    ended: float
-    status: int
-    is_right: bool
-
-
-class Trouble(NamedTuple):
-    """A fault of one gateway ('' for all), for the time rules."""
-
-    gateway: str
-    start: float
-    end: float
-    is_planned: bool
-
-
 class Soak:
     """One seeded run."""
 
@@ -100,7 +79,9 @@
             await self._check_end()
         finally:
             await self._world.stop()
-        self._check_calls()
+        self._problems += broken_promises(
+            self._calls, self._world.runs, self._troubles
+        )
         return self._problems
 
     # Faults
@@ -333,58 +314,6 @@
                     f'{CALM_S + FORCE_S} s after the last fault'
                 )
 
-    def _check_calls(self) -> None:
-        runs: dict[str, int] = {}
-        for run in self._world.runs:
-            runs[run.request_id] = runs.get(run.request_id, 0) + 1
-        for call in self._calls:
-            ran = runs.get(call.request_id, 0)
-            if call.is_build and ran > 1:
-                self._problems.append(f'build {call.request_id} ran {ran}x')
-            if call.is_build and call.status in (408, 421, 429, 503) and ran:
-                self._problems.append(
-                    f'{call.request_id} was refused as not run, and ran'
-                )
-            if not call.is_right:
-                self._problems.append(f'{call.request_id}: wrong answer')
-            if call.status == 404:
-                self._problems.append(f'{call.request_id}: 404 of a route')
-            if call.status == 0 and ran and self._is_planned_only(call):
-                self._problems.append(
-                    f'{call.request_id} was cut by the stop of {call.gateway}'
-                )
-        self._check_drains()
-
-    def _check_drains(self) -> None:
-        by_id = {call.request_id: call for call in self._calls}
-        for run in self._world.runs:
-            call = by_id.get(run.request_id)
-            if not run.is_gone or call is None:
-                continue
-            if not self._disturbed(call.gateway, run.at - CALM_S, run.at):
-                self._problems.append(
-                    f'{run.request_id} reached {run.server_id} after it left'
-                )
-
-    def _disturbed(self, gateway: str, start: float, end: float) -> bool:
-        return any(
-            one.gateway in ('', gateway)
-            and one.start <= end
-            and one.end + TIMER_SLACK_S >= start
-            for one in self._troubles
-        )
-
-    def _is_planned_only(self, call: Call) -> bool:
-        """Whether only a planned stop can have cut the call."""
-        near = [
-            one
-            for one in self._troubles
-            if one.gateway in ('', call.gateway)
-            and one.start <= call.ended + TIMER_SLACK_S
-            and one.end + CALM_S >= call.sent
-        ]
-        return bool(near) and all(one.is_planned for one in near)
-
 
 def _path(name: str, prefix: str, kind: str) -> dict[str, Any]:
     return {
