--- a/tests/registry/test_following.py
+++ b/tests/registry/test_following.py
@@ -184,6 +184,25 @@
     run_paused(main())
 
 
+def test_age_of_the_view_shows_an_outage() -> None:
+    """Guards against an age that stays low while nobody hears the store."""
+
+    async def main() -> None:
+        region = Region(5)
+        await region.start()
+        assert all(one.relay.view_age < 0.5 for one in region.members)
+        for kind in region.kinds:
+            kind.is_down = True
+        await asyncio.sleep(6.0)
+        assert all(one.relay.view_age > 4.0 for one in region.members)
+        for kind in region.kinds:
+            kind.is_down = False
+        await asyncio.sleep(3.0)
+        assert all(one.relay.view_age < 0.5 for one in region.members)
+
+    run_paused(main())
+
+
 def test_silent_store_is_noticed_after_its_return() -> None:
     """Guards against a lost watch that hides changes for long.
 
