--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Final
 from typing import NamedTuple
@@ -53,6 +54,18 @@
     ]
 
 
+def not_recovered(statuses: Mapping[str, int]) -> list[str]:
+    """Gateways that do not serve the newest route after the last fault.
+
+    `statuses` holds the status of one request by gateway, 0 for none.
+    """
+    return [
+        f'{gateway} answers {status} on the newest route after the last fault'
+        for gateway, status in statuses.items()
+        if status != 200
+    ]
+
+
 def _executions(calls: Sequence[Call], runs: Iterable[Run]) -> Iterator[str]:
     """Builds run at most once, and not at all if refused as not run."""
     counts = Counter(run.request_id for run in runs)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from checks import broken_promises  # noqa: E402
 from checks import Call  # noqa: E402
 from checks import CALM_S  # noqa: E402
+from checks import not_recovered  # noqa: E402
 from checks import Trouble  # noqa: E402
 from proxy import Mode  # noqa: E402
 from world import Gateway  # noqa: E402
@@ -297,6 +298,7 @@
     async def _check_end(self) -> None:
         """After the faults: all gateways serve the newest route."""
         await asyncio.sleep(CALM_S + FORCE_S)
+        statuses: dict[str, int] = {}
         for gateway in self._world.gateways:
             reader, writer = await asyncio.open_connection(
                 gateway.ip, gateway.ports[0]
@@ -306,13 +308,9 @@
                 f'{headers.REQUEST_ID}: end-{gateway.name}\r\n'
                 f'{headers.DEADLINE}: 3000\r\n\r\n'.encode()
             )
-            status, _, _ = await _read_answer(reader)
+            statuses[gateway.name], _, _ = await _read_answer(reader)
             writer.close()
-            if status != 200:
-                self._problems.append(
-                    f'{gateway.name} answers {status} on the newest route '
-                    f'{CALM_S + FORCE_S} s after the last fault'
-                )
+        self._problems += not_recovered(statuses)
 
 
 def _path(name: str, prefix: str, kind: str) -> dict[str, Any]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,6 +3,7 @@
 from checks import broken_promises
 from checks import Call
 from checks import CALM_S
+from checks import not_recovered
 from checks import Trouble
 import pytest
 from world import Run
@@ -90,3 +91,9 @@
     else:
         (one,) = found
         assert problem in one
+
+
+def test_gateway_that_does_not_recover_is_found() -> None:
+    """Guards against a gateway that serves old routes for good."""
+    found = not_recovered({'gw-1': 200, 'gw-2': 404, 'gw-3': 0})
+    assert [one.split()[0] for one in found] == ['gw-2', 'gw-3']
