--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -54,6 +54,18 @@
     ]
 
 
+def ended_by_themselves(codes: Mapping[str, int | None]) -> list[str]:
+    """Gateways without a process after the last fault.
+
+    `codes` holds the exit code of each, None while it runs.
+    """
+    return [
+        f'{gateway} ended by itself with exit code {code}'
+        for gateway, code in codes.items()
+        if code is not None
+    ]
+
+
 def not_recovered(statuses: Mapping[str, int]) -> list[str]:
     """Gateways that do not serve the newest route after the last fault.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from checks import broken_promises  # noqa: E402
 from checks import Call  # noqa: E402
 from checks import CALM_S  # noqa: E402
+from checks import ended_by_themselves  # noqa: E402
 from checks import not_recovered  # noqa: E402
 from checks import Trouble  # noqa: E402
 from proxy import Mode  # noqa: E402
@@ -298,8 +299,12 @@
     async def _check_end(self) -> None:
         """After the faults: all gateways serve the newest route."""
         await asyncio.sleep(CALM_S + FORCE_S)
+        codes = {one.name: one.exit_code for one in self._world.gateways}
+        self._problems += ended_by_themselves(codes)
         statuses: dict[str, int] = {}
         for gateway in self._world.gateways:
+            if codes[gateway.name] is not None:
+                continue
             reader, writer = await asyncio.open_connection(
                 gateway.ip, gateway.ports[0]
             )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,6 +3,7 @@
 from checks import broken_promises
 from checks import Call
 from checks import CALM_S
+from checks import ended_by_themselves
 from checks import not_recovered
 from checks import Trouble
 import pytest
@@ -97,3 +98,9 @@
     """Guards against a gateway that serves old routes for good."""
     found = not_recovered({'gw-1': 200, 'gw-2': 404, 'gw-3': 0})
     assert [one.split()[0] for one in found] == ['gw-2', 'gw-3']
+
+
+def test_process_that_ended_by_itself_is_found() -> None:
+    """Guards against a gateway that is gone without a word."""
+    (found,) = ended_by_themselves({'gw-1': None, 'gw-2': -1})
+    assert found.startswith('gw-2 ')
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -103,6 +103,11 @@
         # Overlapping restarts of one gateway would leave a process behind.
         self.restarting = asyncio.Lock()
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the newest process, None while it runs."""
+        return self.process.returncode if self.process else None
+
     async def prepare(self, store: str) -> None:
         """Write the settings."""
         self.proxy = Proxy(target=store)
