End a caller's connection that waits for its turn

A request that may not be pipelined waited for the answers before it in a loop of sleep(0): it kept the event loop busy while the caller read slowly, and for ever once the caller was cut off, since the failed answer stays pending. It now waits for an event that each written or failed answer sets, and is not started behind an answer that closes.

The new test fails without it: the connection of a caller that does not read never ended.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -27,6 +27,8 @@
 LINGER_S: Final = 1.0
 # Connections that wait to be accepted.
 BACKLOG: Final = 512
+# How often a stopping port looks for connections that became idle.
+CLOSE_POLL_S: Final = 0.05
 _NO_BODY: Final = frozenset({204, 304})
 
 
@@ -82,6 +84,7 @@
         self._parser = RequestParser(limits=service.limits)
         self._pending: deque[_Pending] = deque()
         self._changed = asyncio.Event()
+        self._answered = asyncio.Event()
         self._problem: RequestProblem | None = None
 
     @property
@@ -172,22 +175,22 @@
                     return b''
 
     async def _begin(self, request: CallerRequest) -> None:
-        """Start to serve a request, in turn where it has to wait."""
-        while len(self._pending) >= MAX_PIPELINED or (
-            self._pending and not self._service.may_pipeline(request)
+        """Start to serve a request, in turn where it has to wait.
+
+        Callers send again what they sent behind an answer that closes.
+        """
+        while not self._writer.is_closing() and (
+            len(self._pending) >= MAX_PIPELINED
+            or (self._pending and not self._service.may_pipeline(request))
         ):
-            await self._wait_for_answer()
+            self._answered.clear()
+            await self._answered.wait()
+        if self._writer.is_closing():
+            return
         task = asyncio.create_task(self._service.serve(request))
         self._pending.append(_Pending(request, task))
         self._changed.set()
 
-    async def _wait_for_answer(self) -> None:
-        first = self._pending[0].answer
-        await asyncio.wait({first})
-        # The writer takes the answer in its own task.
-        while self._pending and self._pending[0].answer is first:
-            await asyncio.sleep(0)
-
     async def _write_answers(self) -> None:
         """Write answers in the order of their requests."""
         while True:
@@ -204,7 +207,10 @@
             closes = not pending.request.keep_alive or (
                 self._is_closing() and len(self._pending) == 1
             )
-            await self._write(answer, pending.request, closes)
+            try:
+                await self._write(answer, pending.request, closes)
+            finally:
+                self._answered.set()
             self._pending.popleft()
             if closes:
                 self._writer.close()
@@ -307,6 +313,3 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
-
-
-CLOSE_POLL_S: Final = 0.05
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -8,6 +8,7 @@
 import pytest
 
 from teaselrock.state.routes import CallerLimits
+from teaselrock.transport import caller_connection
 from teaselrock.transport.caller_connection import CallerAnswer
 from teaselrock.transport.caller_connection import CallerPort
 from teaselrock.transport.requests import CallerRequest
@@ -26,6 +27,7 @@
         self.started: list[str] = []
         self.cancelled: list[str] = []
         self.bodies: list[bytes] = []
+        self.padding = b''
         self.release = asyncio.Event()
 
     def may_pipeline(self, request: CallerRequest) -> bool:
@@ -40,7 +42,7 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return CallerAnswer(200, (), request.target.encode())
+        return CallerAnswer(200, (), request.target.encode() + self.padding)
 
     def problem(self, problem: RequestProblem) -> CallerAnswer:
         return CallerAnswer(problem.status, ())
@@ -132,6 +134,28 @@
     _run(scenario)
 
 
+def test_caller_that_does_not_read_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection that waits for its turn for ever.
+
+    The build waits behind an answer that the caller does not take.
+    """
+    monkeypatch.setattr(caller_connection, 'WRITE_TIMEOUT_S', 0.05)
+
+    async def scenario(
+        service: Service, port: CallerPort, client: Client
+    ) -> None:
+        service.padding = b'x' * 20_000_000
+        client.send('/large')
+        client.send('/build', method='POST')
+        await _until(lambda: service.started == ['/large'])
+        await _until(lambda: port.connections == 0)
+        assert service.started == ['/large']
+
+    _run(scenario)
+
+
 def test_leaving_caller_cancels_its_requests() -> None:
     """Guards against servers that work for callers that have gone."""
 
