Rank checked servers once for a request

The choice ranked the same checks a second time after the loop, on the way of each request; the ranking walks each server's sends and standing. Behaviour is the same: nothing changes between the two.

--- a/src/teaselrock/coordination/choice/checked.py
+++ b/src/teaselrock/coordination/choice/checked.py
@@ -174,7 +174,7 @@
             and self._standings.is_reachable(server.server_id)
         ]
         found: list[Check] = []
-        chosen: _Candidate | None = None
+        ranked: list[_Candidate] = []
         for group in self._groups(servers):
             try:
                 found += await self._checks.check(
@@ -183,11 +183,11 @@
             except asyncio.CancelledError:
                 self._checks.give_back(found)
                 raise
-            best = self._best(request, route, found)
-            if best and best[0].expected <= self._near_limit(route):
+            ranked = self._best(request, route, found)
+            limit = FAR_THRESHOLD * route.target_latency
+            if ranked and ranked[0].expected <= limit:
                 break
-        candidates = self._best(request, route, found)
-        chosen = candidates[0] if candidates else None
+        chosen = ranked[0] if ranked else None
         self._checks.give_back(
             [one for one in found if chosen is None or one != chosen.check]
         )
@@ -280,9 +280,6 @@
     ) -> list[BackendServer]:
         return self._rng.sample(servers, max(0, min(count, len(servers))))
 
-    def _near_limit(self, route: Route) -> float:
-        return FAR_THRESHOLD * route.target_latency
-
     def _best(
         self, request: Request, route: Route, checks: Sequence[Check]
     ) -> list[_Candidate]:
--- a/src/teaselrock/coordination/choice/checks.py
+++ b/src/teaselrock/coordination/choice/checks.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 
 from expression import Error
-from expression import Ok
 from expression import Result
 
 from teaselrock.coordination.choice.standing import Standings
@@ -169,5 +168,4 @@
         raise
     if result.is_error():
         connection.close()
-        return Error(result.error)
-    return Ok(result.ok)
+    return result
