Let the store's client use the connection pool

StoreClient kept idle connections in a loop of its own beside ConnectionPool, which does the same: take the newest open one, else connect; return what can be used again. `_text` and the errors of malformed documents stood in two and three modules of the adapter; they are in platform/values.py now. Closing the client waits for the transports, as closing the pool does.

--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -175,7 +175,7 @@
             limit=max(0.0, grace - STOP_DELAY_S - STOP_MARGIN_S)
         )
         await self._instance.stop()
-        self._store.close()
+        await self._store.close()
         self._operators.stop_accepting()
         await self._operators.wait_closed(limit=0.0)
         self._events.emit(event=Event.GATEWAY_STOPPED)
--- a/src/teaselrock/platform/documents.py
+++ b/src/teaselrock/platform/documents.py
@@ -9,6 +9,8 @@
 from typing import Final
 
 from teaselrock.coordination.ports import RosterEntry
+from teaselrock.platform.values import MALFORMED
+from teaselrock.platform.values import text
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import CallerLimits
@@ -19,7 +21,6 @@
 
 _IDEMPOTENT: Final = 'idempotent'
 _STATES: Final = frozenset({'ready', 'draining'})
-_BROKEN: Final = (KeyError, TypeError, ValueError, AttributeError)
 
 
 def decode_table(name: str, spec: Any) -> RoutingTable | None:
@@ -28,14 +29,14 @@
         return None
     try:
         routes = tuple(
-            _route(_text(host['host']), path)
+            _route(text(host['host']), path)
             for host in spec['virtual_hosts']
             for path in host['paths']
         )
         services = {
-            _text(one['name']): ServiceProfile(
+            text(one['name']): ServiceProfile(
                 name=one['name'],
-                health_target=_text(one.get('health_path') or '/health'),
+                health_target=text(one.get('health_path') or '/health'),
                 max_connections=int(one.get('max_conns') or 0),
                 cold_rate=float(one.get('cold_per_s') or 0.0),
             )
@@ -43,27 +44,27 @@
         }
         return RoutingTable(
             # The version is a number in hexadecimal digits.
-            int(_text(spec['version']), 16),
+            int(text(spec['version']), 16),
             routes,
             services,
             _limits(spec.get('limits') or {}),
         )
-    except _BROKEN:
+    except MALFORMED:
         return None
 
 
 def _route(host: str, path: Mapping[str, Any]) -> Route:
     split = path.get('traffic_split') or ()
     shares = tuple(
-        ServiceShare(_text(one['service']), float(one['weight']))
+        ServiceShare(text(one['service']), float(one['weight']))
         for one in split
     )
     timeout = float(path['timeout_ms']) / 1000
     return Route(
-        name=_text(path['name']),
+        name=text(path['name']),
         host=host,
-        prefix=_text(path['path_prefix']),
-        shares=shares or (ServiceShare(_text(path['service']), 1.0),),
+        prefix=text(path['path_prefix']),
+        shares=shares or (ServiceShare(text(path['service']), 1.0),),
         is_idempotent=path['kind'] == _IDEMPOTENT,
         timeout=timeout,
         target_latency=float(
@@ -102,10 +103,10 @@
     new connections tell of a restart and of a cold start afresh.
     """
     try:
-        zone = _text(spec['zone'])
-        state = _text(spec['state'])
+        zone = text(spec['zone'])
+        state = text(spec['state'])
         slots = spec['slots']
-        address = _text(spec['address'])
+        address = text(spec['address'])
         _, colon, port = address.rpartition(':')
         is_valid = (
             state in _STATES
@@ -120,13 +121,13 @@
             return None
         return BackendServer(
             server_id=name,
-            service=_text(spec['service']),
+            service=text(spec['service']),
             zone=AvailabilityZone(zone_regions[zone], zone),
             address=address,
             concurrency=slots,
             leaving=state == 'draining',
         )
-    except _BROKEN:
+    except MALFORMED:
         return None
 
 
@@ -140,11 +141,11 @@
     try:
         return RosterEntry(
             name,
-            _text(spec['region']),
-            _text(spec['zone']),
+            text(spec['region']),
+            text(spec['zone']),
             str(spec.get('address') or ''),
         )
-    except _BROKEN:
+    except MALFORMED:
         return None
 
 
@@ -155,9 +156,3 @@
         'zone': entry.zone,
         'address': entry.address,
     }
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError('must be a text')
-    return value
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -15,6 +15,9 @@
 from expression import Result
 import msgspec
 
+from teaselrock.platform.values import MALFORMED
+from teaselrock.platform.values import text
+
 PATH_VARIABLE: Final = 'TEASELROCK_SETTINGS'
 # The platform asks here whether an instance takes new connections.
 READY_PATH: Final = '/ready'
@@ -84,16 +87,16 @@
     field = ''
     try:
         field = 'node_name'
-        instance_id = _text(document[field])
+        instance_id = text(document[field])
         field = 'zones'
         zone_regions = {
-            _text(zone): _text(region)
+            text(zone): text(region)
             for zone, region in document[field].items()
         }
         field = 'zone'
-        zone = _text(document[field])
+        zone = text(document[field])
         field = 'region'
-        region = _text(document[field])
+        region = text(document[field])
         field = 'listen.front'
         callers = _address(document['listen']['front'])
         field = 'listen.readiness_addr'
@@ -101,13 +104,13 @@
         field = 'platform.address'
         store = _address(document['platform']['address'])
         field = 'ip'
-        peer_host = _text(document[field])
+        peer_host = text(document[field])
         field = 'port_range'
         first, last = document[field]
         peer_ports = (int(first), int(last))
         field = 'bounds'
         bounds = _bounds(document.get(field) or ())
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         return Error(SettingsProblem(field, str(error) or 'missing'))
     return Ok(
         ProcessSettings(
@@ -125,14 +128,8 @@
     )
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError('must be a text')
-    return value
-
-
 def _address(value: Any) -> Address:
-    host, colon, port = _text(value).rpartition(':')
+    host, colon, port = text(value).rpartition(':')
     if not colon or not host:
         raise ValueError('must be HOST:PORT')
     return Address(host, int(port))
@@ -141,8 +138,8 @@
 def _bounds(texts: Any) -> InstallationBounds:
     """Bounds come as a list of texts `name=value`."""
     values: dict[str, float] = {}
-    for text in texts:
-        name, _, value = str(text).partition('=')
+    for bound in texts:
+        name, _, value = str(bound).partition('=')
         try:
             values[name.strip()] = float(value)
         except ValueError:
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections import Counter
-from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -22,15 +21,17 @@
 from expression import Result
 import msgspec
 
+from teaselrock.coordination.connections import ConnectionPool
+from teaselrock.coordination.connections import FixedIdleLimit
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.events import Events
-from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import Entry
 from teaselrock.coordination.ports import Listing
 from teaselrock.coordination.ports import RosterEntry
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.platform import documents
+from teaselrock.platform.values import MALFORMED
 from teaselrock.protocol import fields
 from teaselrock.state import Answer
 from teaselrock.state import AvailabilityZone
@@ -99,8 +100,10 @@
         self._server = BackendServer(
             'store', '', AvailabilityZone('', ''), address, 1
         )
-        self._connector = HttpConnector(dialect=_PlainDialect())
-        self._idle: deque[BackendConnection] = deque()
+        self._connections = ConnectionPool(
+            connector=HttpConnector(dialect=_PlainDialect()),
+            idle_limit=FixedIdleLimit(count=MAX_IDLE),
+        )
         self._calls: Counter[str] = Counter()
 
     @property
@@ -155,37 +158,29 @@
         except msgspec.DecodeError as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Close idle connections."""
-        while self._idle:
-            self._idle.pop().close()
+        await self._connections.close()
 
     async def _exchange(
         self, content: Content, deadline: float
     ) -> Result[Answer, StoreError]:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open:
-                break
-            connection.close()
-        else:
-            opened = await self._connector.connect(
-                server=self._server, deadline=deadline
+        opened = await self._connections.checkout(
+            server=self._server, start_id='', deadline=deadline
+        )
+        if opened.is_error():
+            return Error(
+                StoreError(StoreErrorKind.UNAVAILABLE, opened.error.detail)
             )
-            if opened.is_error():
-                return Error(
-                    StoreError(StoreErrorKind.UNAVAILABLE, opened.error.detail)
-                )
-            connection = opened.ok
+        connection = opened.ok
         try:
             result = await connection.exchange(
                 content=content, deadline=deadline
             )
         finally:
-            if connection.is_open and len(self._idle) < MAX_IDLE:
-                self._idle.append(connection)
-            else:
-                connection.close()
+            self._connections.checkin(
+                server=self._server, connection=connection
+            )
         if result.is_error():
             kind = (
                 StoreErrorKind.UNAVAILABLE
@@ -235,7 +230,7 @@
                 found = [self._entry(item, False) for item in page['items']]
                 revision = int(page['store_revision'])
                 more = bool(page.get('has_more'))
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except MALFORMED as error:
                 return Error(_unreadable(error))
             entries += found
             if not more or not found:
@@ -264,7 +259,7 @@
                 for event in page['events']
             )
             return Ok(Listing(entries, int(page['store_revision'])))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except MALFORMED as error:
             return Error(_unreadable(error))
 
     def _entry(self, item: Any, is_deleted: bool) -> Entry[T]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,7 +25,7 @@
             async with asyncio.timeout(20):
                 await scenario(store, client)
         finally:
-            client.close()
+            await client.close()
             store.http.stop()
 
     asyncio.run(main())
