Name an empty configuration in one place

The empty document stood in daemon.options, in state.configuration and, with this change, in the platform's gateway; the one of state.configuration serves all. The metrics ask for the three things that they show instead of a whole Directory, so that the view of the platform's gateway needs no list of servers that nobody reads. Its three kinds of stored objects are made in one place.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -37,6 +37,7 @@
 from teaselrock.protocol import MessageCodec
 from teaselrock.protocol.documents import JsonDocumentCodec
 from teaselrock.protocol.messages import KINDS
+from teaselrock.state.configuration import empty_document
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.callers import CallerServer
 from teaselrock.transport.front import FrontEnd
@@ -84,7 +85,7 @@
             own=options.own,
             connector=ports.connector,
             directory=FixedDirectory(
-                document=options.document or options_module.empty_document(),
+                document=options.document or empty_document(),
                 servers=options.servers,
             ),
             rng=random.Random(),
@@ -142,7 +143,7 @@
             ports=self._ports(),
         )
         self._metrics.watch(
-            directory=self._instance.directory,
+            view=self._instance.directory,
             in_flight=lambda: self._instance.dispatcher.in_flight,
             parts=SlotCollector(read=lambda: readings.read(self._instance)),
         )
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from typing import Final
+from typing import Protocol
 
 import prometheus_client
 from prometheus_client import CollectorRegistry
@@ -17,7 +18,6 @@
 from prometheus_client.registry import Collector
 
 from teaselrock.coordination.events import Event
-from teaselrock.coordination.ports import Directory
 from teaselrock.state.configuration import Document
 
 MAX_CUSTOMERS: Final = 200
@@ -41,12 +41,31 @@
 )
 
 
+class MeasuredView(Protocol):
+    """What an instance knows, as its metrics show it."""
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 if there is none."""
+        ...
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance accepts new work."""
+        ...
+
+    @property
+    def document(self) -> Document:
+        """The configuration, whose customers get series of their own."""
+        ...
+
+
 class GatewayMetrics:
     """Metrics of one gateway."""
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
-        self._directory: Directory | None = None
+        self._view: MeasuredView | None = None
         self._document: Document | None = None
         self._customers: frozenset[str] = frozenset()
         self._pairs: set[tuple[str, str]] = set()
@@ -89,7 +108,7 @@
     def watch(
         self,
         *,
-        directory: Directory,
+        view: MeasuredView,
         in_flight: Callable[[], int],
         parts: Collector,
     ) -> None:
@@ -97,17 +116,17 @@
 
         The callables and the collector may run in other threads.
         """
-        self._directory = directory
+        self._view = view
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             (
                 'teaselrock_configuration_version',
                 'Version of the configuration in force.',
-                lambda: directory.version,
+                lambda: view.version,
             ),
             (
                 'teaselrock_ready',
                 '1 if the instance accepts new work.',
-                lambda: directory.is_ready,
+                lambda: view.is_ready,
             ),
             (
                 'teaselrock_requests_in_flight',
@@ -166,9 +185,7 @@
     def _label(self, customer: str) -> str:
         if not customer:
             return NONE
-        document = (
-            self._directory.document if self._directory is not None else None
-        )
+        document = self._view.document if self._view is not None else None
         if document is not self._document:
             names = sorted(document['customers']) if document else []
             self._customers = frozenset(names[:MAX_CUSTOMERS])
--- a/src/teaselrock/daemon/options.py
+++ b/src/teaselrock/daemon/options.py
@@ -45,18 +45,6 @@
     servers: tuple[BackendServer, ...] = ()
 
 
-def empty_document() -> Document:
-    """A configuration that allows nothing."""
-    return {
-        'customers': {},
-        'plans': {},
-        'services': {},
-        'out_zones': {},
-        'out_instances': {},
-        'out_servers': {},
-    }
-
-
 def from_settings(settings: GatewaySettings) -> GatewayOptions:
     """Options of checked settings."""
     peer_listen = settings.get('peer_listen')
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -6,13 +6,14 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import os
 import pathlib
 import random
 import signal
 import sys
+from typing import Any
 from typing import Final
+from typing import TypeVar
 
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import RosterEntry
@@ -32,6 +33,7 @@
 from teaselrock.platform.settings import ProcessSettings
 from teaselrock.state import BackendServer
 from teaselrock.state.configuration import Document
+from teaselrock.state.configuration import empty_document
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_connection import CallerPort
 from teaselrock.transport.operators_pages import OperatorsSource
@@ -39,6 +41,8 @@
 from teaselrock.transport.relay_link import StreamRelayLink
 from teaselrock.transport.routed_front import RoutedFront
 
+T = TypeVar('T')
+
 EXIT_OK: Final = 0
 EXIT_REFUSED: Final = 1
 # After SIGTERM the platform still sends new connections until it has missed
@@ -50,7 +54,7 @@
 SETTINGS_POLL_S: Final = 2.0
 
 
-class _MeasuredView:
+class _RoutedView:
     """The view as `GatewayMetrics` reads it; it names no customers."""
 
     def __init__(
@@ -58,14 +62,7 @@
     ) -> None:
         self._view = view
         self._is_ready = is_ready
-        self._document: Document = {
-            'customers': {},
-            'plans': {},
-            'services': {},
-            'out_zones': {},
-            'out_instances': {},
-            'out_servers': {},
-        }
+        self._document = empty_document()
 
     @property
     def version(self) -> int:
@@ -82,10 +79,6 @@
         """Whether the instance takes new connections."""
         return self._is_ready()
 
-    def backend_servers(self, *, service: str) -> Sequence[BackendServer]:
-        """Servers that may get new work."""
-        return self._view.backend_servers(service=service)
-
 
 class PlatformGateway:
     """One gateway instance on the platform."""
@@ -111,7 +104,7 @@
         self._instance = self._make_instance()
         view = self._instance.view
         self._metrics.watch(
-            directory=_MeasuredView(view=view, is_ready=lambda: self.is_ready),
+            view=_RoutedView(view=view, is_ready=lambda: self.is_ready),
             in_flight=lambda: self._instance.dispatcher.in_flight,
             parts=RoutedCollector(
                 read=lambda: self._instance.readings,
@@ -224,23 +217,10 @@
                         health_target=self._health_target
                     )
                 ),
-                tables=store.StoredKind(
-                    client=self._store,
-                    kind=store.TABLES,
-                    decode=documents.decode_table,
-                    events=self._events,
-                ),
-                servers=store.StoredKind(
-                    client=self._store,
-                    kind=store.SERVERS,
-                    decode=decode_server,
-                    events=self._events,
-                ),
-                zones_out=store.StoredKind(
-                    client=self._store,
-                    kind=store.ZONES_OUT,
-                    decode=documents.decode_zone_out,
-                    events=self._events,
+                tables=self._stored(store.TABLES, documents.decode_table),
+                servers=self._stored(store.SERVERS, decode_server),
+                zones_out=self._stored(
+                    store.ZONES_OUT, documents.decode_zone_out
                 ),
                 roster=store.StoredRoster(
                     client=self._store, events=self._events
@@ -270,6 +250,13 @@
             rng=random.Random(),
         )
 
+    def _stored(
+        self, kind: str, decode: Callable[[str, Any], T | None]
+    ) -> store.StoredKind[T]:
+        return store.StoredKind(
+            client=self._store, kind=kind, decode=decode, events=self._events
+        )
+
     def _on_invalid_frame(self, detail: str) -> None:
         self._metrics.on_invalid_frame()
         self._events.emit(event=Event.PEER_FRAME_INVALID, detail=detail)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -23,11 +23,11 @@
 from teaselrock.cli.admin import OutSection
 from teaselrock.cli.admin import Version
 from teaselrock.coordination.report_reader import RowQuery
-from teaselrock.daemon.options import empty_document
 from teaselrock.standins.clock import run_paused
 from teaselrock.standins.store import MemoryStore
 from teaselrock.standins.store import StoreModel
 from teaselrock.state import Verdict
+from teaselrock.state.configuration import empty_document
 from teaselrock.state.report import AccountingRow
 from teaselrock.state.report import Cover
 from teaselrock.state.report import Row
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -14,9 +14,9 @@
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.metrics import MAX_CUSTOMERS
-from teaselrock.daemon.options import empty_document
 from teaselrock.daemon.readings import Readings
 from teaselrock.daemon.slot_metrics import SlotCollector
+from teaselrock.state.configuration import empty_document
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -112,7 +112,7 @@
     directory = FixedDirectory(document=document, servers=())
     metrics = GatewayMetrics()
     metrics.watch(
-        directory=directory,
+        view=directory,
         in_flight=lambda: 3,
         parts=SlotCollector(read=Readings),
     )
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -10,13 +10,13 @@
 from teaselrock.coordination.routed_instance import RoutedReadings
 from teaselrock.coordination.unlimited import FixedDirectory
 from teaselrock.daemon.metrics import GatewayMetrics
-from teaselrock.daemon.options import empty_document
 from teaselrock.daemon.readings import Readings
 from teaselrock.daemon.routed_metrics import RoutedCollector
 from teaselrock.daemon.slot_metrics import SlotCollector
 from teaselrock.protocol import checker
 from teaselrock.protocol import problem
 from teaselrock.state import RefusalCode
+from teaselrock.state.configuration import empty_document
 
 ROOT = pathlib.Path(__file__).parents[2]
 EXAMPLES = ROOT / 'examples'
@@ -56,7 +56,7 @@
     """Names and types of the metrics of one kind of instance."""
     metrics = GatewayMetrics()
     metrics.watch(
-        directory=FixedDirectory(document=empty_document(), servers=()),
+        view=FixedDirectory(document=empty_document(), servers=()),
         in_flight=lambda: 0,
         parts=parts,
     )
--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -25,13 +25,13 @@
 from teaselrock.coordination.events import NoEvents
 from teaselrock.coordination.events import RequestObserver
 from teaselrock.coordination.unlimited import FixedDirectory
-from teaselrock.daemon.options import empty_document
 from teaselrock.state import Answer
 from teaselrock.state import Refusal
 from teaselrock.state import RefusalCode
 from teaselrock.state import Request
 from teaselrock.state import Verdict
 from teaselrock.state.configuration import Document
+from teaselrock.state.configuration import empty_document
 from teaselrock.transport.callers import CallerServer
 from teaselrock.transport.front import FrontEnd
 
--- a/tests/transport/test_lookup.py
+++ b/tests/transport/test_lookup.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from teaselrock.daemon.options import empty_document
+from teaselrock.state.configuration import empty_document
 from teaselrock.transport import lookup
 
 
