Show announced rate limits of servers in logs and metrics

Change: load reports carry the limit; AnnouncedLimits keeps the current one of each server, two events and a gauge show it, and the evidence of an attempt names the limit that was known when the server was chosen. No decision uses it yet.

--- a/src/teaselrock/coordination/choice/__init__.py
+++ b/src/teaselrock/coordination/choice/__init__.py
@@ -4,6 +4,7 @@
 limits for cold servers and idle connections.
 """
 
+from teaselrock.coordination.choice.announced_limits import AnnouncedLimits
 from teaselrock.coordination.choice.checked_slots import CheckedSlots
 from teaselrock.coordination.choice.cold_limits import ColdLimits
 from teaselrock.coordination.choice.idle_limit import SharedIdleLimit
@@ -13,6 +14,7 @@
 from teaselrock.coordination.choice.server_history import ServerHistory
 
 __all__ = (
+    'AnnouncedLimits',
     'CheckCounts',
     'CheckedSlots',
     'ColdLimits',
--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -18,6 +18,7 @@
 from expression import Result
 
 from teaselrock.coordination.choice import refusals
+from teaselrock.coordination.choice.announced_limits import AnnouncedLimits
 from teaselrock.coordination.choice.cold_limits import ColdLimits
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.latency_estimates import UNHEALTHY_FACTOR
@@ -101,14 +102,17 @@
 
         `120ms,2+0of3x1.5,4ms,5`: 120 ms expected; 2 requests running and
         none queued, of a capacity of 3, with a processing time of 1.5 times
-        the usual one; the check took 4 ms; 5 servers answered checks.
+        the usual one; the check took 4 ms; 5 servers answered checks. A rate
+        limit that the server announces follows, as in `limit3.8`.
         """
         load = self._check.load
         duration = self._check.ended_at - self._check.started_at
+        limit = '' if load.rate_limit is None else f',limit{load.rate_limit:g}'
         return (
             f'{self._expected * 1000:.0f}ms,'
             f'{load.in_flight}+{load.queued}of{load.capacity}'
             f'x{load.work_factor:g},{duration * 1000:.0f}ms,{self._answered}'
+            f'{limit}'
         )
 
     @property
@@ -141,6 +145,7 @@
         view: InstallationView,
         load_checks: LoadChecks,
         cold_limits: ColdLimits,
+        announced_limits: AnnouncedLimits,
         history: ServerHistory,
         latency_estimates: LatencyEstimates,
         rng: random.Random,
@@ -149,6 +154,7 @@
         self._view = view
         self._load_checks = load_checks
         self._cold_limits = cold_limits
+        self._announced_limits = announced_limits
         self._history = history
         self._latency_estimates = latency_estimates
         self._rng = rng
@@ -187,12 +193,17 @@
         ranked: list[_Candidate] = []
         for group in self._groups(servers):
             try:
-                checks += await self._load_checks.check(
+                answered = await self._load_checks.check(
                     servers=group, deadline=request.deadline
                 )
             except asyncio.CancelledError:
                 self._load_checks.put_back(checks)
                 raise
+            for check in answered:
+                self._announced_limits.observe(
+                    server=check.server, load=check.load, is_check=True
+                )
+            checks += answered
             ranked = self._rank_candidates(request, route, checks)
             sufficient_latency = (
                 SUFFICIENT_TARGET_FACTOR * route.target_latency
@@ -243,6 +254,7 @@
         """Drop all state of a server that was removed."""
         self._history.drop_server(server_id)
         self._cold_limits.drop_server(server_id)
+        self._announced_limits.drop_server(server_id)
         self._send_times.pop(server_id, None)
 
     def on_release(
@@ -258,6 +270,10 @@
             self._load_checks.put_back((check,))
             return
         server = check.server
+        if outcome.load is not None:
+            self._announced_limits.observe(
+                server=server, load=outcome.load, is_check=False
+            )
         self._history.observe(
             server_id=server.server_id,
             outcome=outcome,
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+from teaselrock.coordination.choice import AnnouncedLimits
 from teaselrock.coordination.choice import CheckCounts
 from teaselrock.coordination.choice import CheckedSlots
 from teaselrock.coordination.choice import ColdLimits
@@ -90,7 +91,8 @@
     """Values of one instance for its metrics.
 
     `view_age` is in seconds; `servers` is the number of servers in service,
-    and it and `retry_budgets` are by service.
+    `rate_limited_servers` that of servers that announce a rate limit. Both
+    and `retry_budgets` are by service.
     """
 
     view_age: float
@@ -99,6 +101,7 @@
     servers: Mapping[str, int]
     checks: CheckCounts
     retry_budgets: Mapping[str, BudgetCounts]
+    rate_limited_servers: Mapping[str, int]
 
 
 class RoutedInstance:
@@ -149,11 +152,13 @@
             history=history,
             events=ports.events,
         )
+        self._announced_limits = AnnouncedLimits(events=ports.events)
         self._slots = CheckedSlots(
             own_zone=AvailabilityZone(own.region, own.zone),
             view=self._view,
             load_checks=self._checks,
             cold_limits=self._cold_limits,
+            announced_limits=self._announced_limits,
             history=history,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(rng.getrandbits(64)),
@@ -195,6 +200,7 @@
             self._view.in_service_counts,
             self._checks.counts,
             self._runners.budget_counts,
+            self._announced_limits.server_counts,
         )
 
     def set_cold_limits(
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -57,6 +57,14 @@
             ),
             stats.servers,
         )
+        yield _with_samples(
+            GaugeMetricFamily(
+                'teaselrock_rate_limited_servers',
+                'Backend servers that announce a rate limit.',
+                labels=('service',),
+            ),
+            stats.rate_limited_servers,
+        )
         yield _with_samples(
             CounterMetricFamily(
                 'teaselrock_load_checks',
--- a/src/teaselrock/platform/headers.py
+++ b/src/teaselrock/platform/headers.py
@@ -34,11 +34,14 @@
 # running,waiting,slots[,work factor in percent]
 SERVER_LOAD: Final = 'X-Teaselrock-Server-Load'
 COLD_LEFT_MS: Final = 'X-Teaselrock-Cold-Ms'
+# Requests per second that the server takes from all instances together.
+RATE_LIMIT: Final = 'Server-Limit'
 
 DEFAULT_HEALTH_TARGET: Final = '/health'
 MISDIRECTED_REQUEST_STATUS: Final = 421
 MAX_DEADLINE_MS: Final = 3_600_000
 _DECIMAL: Final = re.compile(r'[0-9]{1,9}')
+_DECIMAL_FRACTION: Final = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d{1,6})')
 _DROPPED_REQUEST_FIELDS: Final = fields.HOP_BY_HOP | {
     DEADLINE_MS.lower(),
@@ -258,4 +261,11 @@
         work_factor=work_factor,
         cold_remaining=cold_remaining,
         is_healthy=response.status == 200,
+        rate_limit=_rate_limit(response),
     )
+
+
+def _rate_limit(response: ResponseParser) -> float | None:
+    """Rate limit of a response; None if it has none or cannot be read."""
+    text = (response.field(RATE_LIMIT) or '').strip()
+    return float(text) if _DECIMAL_FRACTION.fullmatch(text) else None
--- a/src/teaselrock/state/topology.py
+++ b/src/teaselrock/state/topology.py
@@ -59,7 +59,8 @@
     the report had another status than 200; only the platform's reports use it.
     `work_factor` is the current processing time relative to the usual one
     (1.0). `cold_remaining` is how much longer the server stays cold, in
-    seconds.
+    seconds. `rate_limit` is how many requests per second the server takes from
+    all instances together, None without such a limit.
     """
 
     start_id: str
@@ -70,3 +71,4 @@
     work_factor: float = 1.0
     cold_remaining: float = 0.0
     is_healthy: bool = True
+    rate_limit: float | None = None
--- a/tests/choice/choice_world.py
+++ b/tests/choice/choice_world.py
@@ -7,6 +7,7 @@
 from expression import Ok
 from expression import Result
 
+from teaselrock.coordination.choice import AnnouncedLimits
 from teaselrock.coordination.choice import CheckedSlots
 from teaselrock.coordination.choice import ColdLimits
 from teaselrock.coordination.choice import LatencyEstimates
@@ -165,6 +166,7 @@
                 events=self,
             ),
             cold_limits=self.cold_limits,
+            announced_limits=AnnouncedLimits(events=self),
             history=self.history,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(1),
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -77,7 +77,7 @@
     Alerts may use only existing metrics.
     """
     page = (ROOT / 'docs/operators/metrics.md').read_text('utf-8')
-    stats = RoutedStats(0.0, False, 0, {}, CheckCounts(), {})
+    stats = RoutedStats(0.0, False, 0, {}, CheckCounts(), {}, {})
     actual = _metric_types(
         InstanceStatsCollector(read_stats=InstanceStats)
     ) | _metric_types(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -341,6 +341,38 @@
     assert info.is_late
 
 
+@pytest.mark.parametrize(
+    ('text', 'rate'),
+    [
+        ('3.1', 3.1),
+        ('12', 12.0),
+        ('0', 0.0),
+        ('-1', None),
+        ('nan', None),
+        ('1e3', None),
+        ('', None),
+    ],
+)
+def test_rate_limit_of_a_response(text: str, rate: float | None) -> None:
+    """Guards against a limit that is overlooked or read from garbage."""
+    dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
+    assert BACKEND is not None
+    limit = f'{headers.RATE_LIMIT}: {text}\r\n'
+    for content, head in (
+        (CONTENT, f'200 OK\r\n{SIGNATURE_LINE}{limit}'),
+        (CONTENT, f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{limit}'),
+        (
+            dialect.load_check(server=BACKEND),
+            f'200 OK\r\n{headers.SERVER_ID}: i-1\r\n{limit}',
+        ),
+    ):
+        info = dialect.interpret(
+            server=BACKEND, content=content, response=_parse_response(head)
+        )
+        assert info.load is not None
+        assert info.load.rate_limit == rate
+
+
 def test_request_fields() -> None:
     """Guards against requests without deadline, id or expected server."""
     dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
