Lend permits for servers that limit the rate of all instances

Cause: nothing read the limit, and a rate that holds for all instances together was only known as a special case, cold servers, with fixed parts for three instances. A fixed part of a rate of 1 to 5 requests per second is less than one request.

Change: `rate_permits` replaces ColdLimits. Two instances of a server's region, chosen by rendezvous hashing, each lend half of its rate with a token bucket, and every attempt, retry and hedge needs a permit. Cold rate and announced limit use it alike; the lower one holds. A lender that is down or silent is replaced by the next rank; a new instance lends only once all rosters contain it. Servers known to deny are not checked, more servers are checked where all before them deny, and what gets no permit is refused at once with a Retry-After that spreads the returns. The settings `cold_overshoot` and `cold_slack` are no longer read: permits aim at the named rate.

Tests: the tests of ColdLimits move to the fleet in tests/registry with the same bounds (cold rate x 1.5 + 5 in one second, at least 0.8 of it used), now summed over real instances instead of over counters; the test that another region gets none by itself is now one with lenders.

--- a/src/teaselrock/coordination/choice/__init__.py
+++ b/src/teaselrock/coordination/choice/__init__.py
@@ -1,25 +1,25 @@
 """Choice of a backend server by load checks right before the request.
 
 Holds the load checks, latency estimates, the history of each server, and the
-limits for cold servers and idle connections.
+limits for idle connections and for the rates of servers.
 """
 
 from teaselrock.coordination.choice.announced_limits import AnnouncedLimits
 from teaselrock.coordination.choice.checked_slots import CheckedSlots
-from teaselrock.coordination.choice.cold_limits import ColdLimits
 from teaselrock.coordination.choice.idle_limit import SharedIdleLimit
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.load_checks import CheckCounts
 from teaselrock.coordination.choice.load_checks import LoadChecks
 from teaselrock.coordination.choice.server_history import ServerHistory
+from teaselrock.coordination.choice.server_rates import ServerRates
 
 __all__ = (
     'AnnouncedLimits',
     'CheckCounts',
     'CheckedSlots',
-    'ColdLimits',
     'LatencyEstimates',
     'LoadChecks',
     'ServerHistory',
+    'ServerRates',
     'SharedIdleLimit',
 )
--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -18,15 +18,16 @@
 from expression import Result
 
 from teaselrock.coordination.choice import refusals
-from teaselrock.coordination.choice.announced_limits import AnnouncedLimits
-from teaselrock.coordination.choice.cold_limits import ColdLimits
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.latency_estimates import UNHEALTHY_FACTOR
 from teaselrock.coordination.choice.load_checks import CheckResult
 from teaselrock.coordination.choice.load_checks import LoadChecks
 from teaselrock.coordination.choice.server_history import ServerHistory
+from teaselrock.coordination.choice.server_rates import RateDenial
+from teaselrock.coordination.choice.server_rates import ServerRates
 from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import Slot
+from teaselrock.coordination.rate_permits import RatePermit
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.state import AttemptOutcome
 from teaselrock.state import AttemptReason
@@ -61,6 +62,23 @@
     score: float
 
 
+class _Group(NamedTuple):
+    """Servers that are checked together.
+
+    A reserve is checked only if all servers before it deny permits.
+    """
+
+    servers: Sequence[BackendServer]
+    is_reserve: bool = False
+
+
+class _Chosen(NamedTuple):
+    """The chosen server, with a permit if its rate is limited."""
+
+    candidate: _Candidate
+    permit: RatePermit | None
+
+
 class CheckedSlot:
     """`Slot` of a server that was just checked, with its connection."""
 
@@ -70,6 +88,7 @@
         source: 'CheckedSlots',
         route: Route,
         check: CheckResult,
+        permit: RatePermit | None,
         expected_latency: float,
         answered: int,
         reason: AttemptReason,
@@ -78,6 +97,7 @@
         self._answered = answered
         self._route = route
         self._check = check
+        self._permit = permit
         self._expected = expected_latency
         self._reason = reason
 
@@ -117,7 +137,10 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether the server may still get requests."""
+        """Whether the server may still get this request."""
+        now = asyncio.get_running_loop().time()
+        if self._permit is not None and now > self._permit.expires_at:
+            return False
         return self._source.may_serve(self._check.server)
 
     @property
@@ -144,8 +167,7 @@
         own_zone: AvailabilityZone,
         view: InstallationView,
         load_checks: LoadChecks,
-        cold_limits: ColdLimits,
-        announced_limits: AnnouncedLimits,
+        server_rates: ServerRates,
         history: ServerHistory,
         latency_estimates: LatencyEstimates,
         rng: random.Random,
@@ -153,8 +175,7 @@
         self._own_zone = own_zone
         self._view = view
         self._load_checks = load_checks
-        self._cold_limits = cold_limits
-        self._announced_limits = announced_limits
+        self._server_rates = server_rates
         self._history = history
         self._latency_estimates = latency_estimates
         self._rng = rng
@@ -190,61 +211,138 @@
             and self._history.may_check(server.server_id)
         ]
         checks: list[CheckResult] = []
-        ranked: list[_Candidate] = []
-        for group in self._groups(servers):
-            try:
-                answered = await self._load_checks.check(
-                    servers=group, deadline=request.deadline
-                )
-            except asyncio.CancelledError:
-                self._load_checks.put_back(checks)
-                raise
-            for check in answered:
-                self._announced_limits.observe(
-                    server=check.server, load=check.load, is_check=True
-                )
-            checks += answered
-            ranked = self._rank_candidates(request, route, checks)
-            sufficient_latency = (
-                SUFFICIENT_TARGET_FACTOR * route.target_latency
+        chosen: _Chosen | None = None
+        try:
+            result = await self._choose(
+                request, route, servers, checks, reason
+            )
+            chosen = result.ok if result.is_ok() else None
+        finally:
+            self._load_checks.put_back(
+                [
+                    check
+                    for check in checks
+                    if chosen is None or check != chosen.candidate.check
+                ]
             )
-            if ranked and ranked[0].expected_latency <= sufficient_latency:
-                break
-        chosen = ranked[0] if ranked else None
-        self._load_checks.put_back(
-            [
-                result
-                for result in checks
-                if chosen is None or result != chosen.check
-            ]
-        )
-        now = asyncio.get_running_loop().time()
         if chosen is None:
-            return Error(refusals.no_server_refusal(bool(servers)))
-        refusal = refusals.overload_refusal(
-            route=route,
-            expected_latency=chosen.expected_latency,
-            remaining=request.deadline - now,
-            has_more_urgent_routes=self._view.index.has_more_urgent_routes(
-                route, service=request.service
-            ),
+            return Error(result.error)
+        check = chosen.candidate.check
+        self._send_times[check.server.server_id].append(
+            asyncio.get_running_loop().time()
         )
-        if refusal is not None:
-            self._load_checks.put_back((chosen.check,))
-            return Error(refusal)
-        self._send_times[chosen.check.server.server_id].append(now)
-        if chosen.check.load.cold_remaining > 0:
-            self._cold_limits.record_send(server=chosen.check.server)
         return Ok(
             CheckedSlot(
                 source=self,
                 route=route,
-                check=chosen.check,
-                expected_latency=chosen.expected_latency,
+                check=check,
+                permit=chosen.permit,
+                expected_latency=chosen.candidate.expected_latency,
                 answered=len(checks),
-                reason=reason or self._reason(chosen.check.server.zone),
+                reason=reason or self._reason(check.server.zone),
+            )
+        )
+
+    async def _choose(
+        self,
+        request: Request,
+        route: Route,
+        servers: Sequence[BackendServer],
+        checks: list[CheckResult],
+        reason: AttemptReason | None,
+    ) -> Result[_Chosen, Refusal]:
+        """Check servers until one may take the request; fills `checks`.
+
+        Servers in further groups are checked while those before are expected
+        to exceed the target latency or are at their rate limits.
+        """
+        sufficient_latency = SUFFICIENT_TARGET_FACTOR * route.target_latency
+        ranked: list[_Candidate] = []
+        denials = self._known_denials(servers)
+        servers = [
+            server for server in servers if server.server_id not in denials
+        ]
+        for group in self._groups(servers):
+            if group.is_reserve and any(
+                candidate.check.server.server_id not in denials
+                for candidate in ranked
+            ):
+                break
+            answered = await self._load_checks.check(
+                servers=group.servers, deadline=request.deadline
+            )
+            checks += answered
+            for check in answered:
+                self._server_rates.observe_check(check)
+            ranked = self._rank_candidates(request, route, checks)
+            for candidate in ranked:
+                if candidate.expected_latency > sufficient_latency:
+                    break
+                chosen = await self._try_candidate(
+                    candidate, route, reason, denials
+                )
+                if chosen is not None:
+                    return Ok(chosen)
+        for candidate in ranked:
+            if candidate.check.server.server_id in denials:
+                continue
+            now = asyncio.get_running_loop().time()
+            refusal = refusals.overload_refusal(
+                route=route,
+                expected_latency=candidate.expected_latency,
+                remaining=request.deadline - now,
+                has_more_urgent_routes=(
+                    self._view.index.has_more_urgent_routes(
+                        route, service=request.service
+                    )
+                ),
+            )
+            if refusal is not None:
+                return Error(refusal)
+            chosen = await self._try_candidate(
+                candidate, route, reason, denials
             )
+            if chosen is not None:
+                return Ok(chosen)
+        if denials:
+            return Error(
+                self._server_rates.refusal(
+                    tuple(denials.values()), route=route
+                )
+            )
+        return Error(refusals.no_server_refusal(bool(servers)))
+
+    def _known_denials(
+        self, servers: Sequence[BackendServer]
+    ) -> dict[str, RateDenial]:
+        known = (
+            self._server_rates.known_denial(server=server)
+            for server in servers
+        )
+        return {
+            denial.server.server_id: denial
+            for denial in known
+            if denial is not None
+        }
+
+    async def _try_candidate(
+        self,
+        candidate: _Candidate,
+        route: Route,
+        reason: AttemptReason | None,
+        denials: dict[str, RateDenial],
+    ) -> _Chosen | None:
+        """The candidate with its permit, None if it was denied."""
+        server_id = candidate.check.server.server_id
+        if server_id in denials:
+            return None
+        acquired = await self._server_rates.acquire_permit(
+            check=candidate.check, route=route, reason=reason
         )
+        if acquired.is_error():
+            denials[server_id] = acquired.error
+            return None
+        return _Chosen(candidate, acquired.ok)
 
     def may_serve(self, server: BackendServer) -> bool:
         """Whether the server may still get requests."""
@@ -253,8 +351,7 @@
     def drop_server(self, server_id: str) -> None:
         """Drop all state of a server that was removed."""
         self._history.drop_server(server_id)
-        self._cold_limits.drop_server(server_id)
-        self._announced_limits.drop_server(server_id)
+        self._server_rates.drop_server(server_id)
         self._send_times.pop(server_id, None)
 
     def on_release(
@@ -271,8 +368,8 @@
             return
         server = check.server
         if outcome.load is not None:
-            self._announced_limits.observe(
-                server=server, load=outcome.load, is_check=False
+            self._server_rates.observe_response(
+                check._replace(load=outcome.load)
             )
         self._history.observe(
             server_id=server.server_id,
@@ -287,9 +384,7 @@
                 expected_latency=expected_latency,
             )
 
-    def _groups(
-        self, servers: Sequence[BackendServer]
-    ) -> list[list[BackendServer]]:
+    def _groups(self, servers: Sequence[BackendServer]) -> list[_Group]:
         """Groups of servers to check, one after the other."""
         in_own_zone: list[BackendServer] = []
         in_region: list[BackendServer] = []
@@ -306,12 +401,19 @@
         rest = [
             server for server in in_own_zone + in_region if server not in first
         ]
-        groups = [first, self._sample(in_other_regions, OTHER_REGION_CHECKS)]
-        if rest and in_other_regions:
-            groups.insert(1, self._sample(rest, REGION_CHECKS))
-        elif rest:
-            groups[1] = self._sample(rest, REGION_CHECKS)
-        return [group for group in groups if group]
+        others = self._sample(in_other_regions, len(in_other_regions))
+        second = self._sample(rest, REGION_CHECKS)
+        rest = [server for server in rest if server not in second]
+        groups = [
+            _Group(first),
+            _Group(second),
+            _Group(others[:OTHER_REGION_CHECKS]),
+            _Group(self._sample(rest, REGION_CHECKS), is_reserve=True),
+            _Group(
+                others[OTHER_REGION_CHECKS:][:REGION_CHECKS], is_reserve=True
+            ),
+        ]
+        return [group for group in groups if group.servers]
 
     def _sample(
         self, servers: Sequence[BackendServer], count: int
@@ -321,17 +423,11 @@
     def _rank_candidates(
         self, request: Request, route: Route, checks: Sequence[CheckResult]
     ) -> list[_Candidate]:
-        """Candidates by rising score; cold servers only within their limit."""
+        """Candidates by rising score."""
         candidates: list[_Candidate] = []
-        profile = self._view.table.services.get(request.service)
-        cold_rate = profile.cold_rate if profile is not None else 0.0
         for check in checks:
             if not self._view.may_serve(check.server):
                 continue
-            if check.load.cold_remaining > 0 and not self._cold_limits.allows(
-                server=check.server, cold_rate=cold_rate
-            ):
-                continue
             send_times = self._send_times[check.server.server_id]
             expected_latency = (
                 self._latency_estimates.expected_latency(
--- a/src/teaselrock/coordination/choice/idle_limit.py
+++ b/src/teaselrock/coordination/choice/idle_limit.py
@@ -2,12 +2,12 @@
 
 A server limits the connections from all instances together and resets those
 above the limit. Each instance takes an equal share, of which its connection
-pool keeps only a part idle. `ColdLimits` provides the number of instances.
+pool keeps only a part idle. The roster provides the number of instances.
 """
 
 from typing import Final
 
-from teaselrock.coordination.choice.cold_limits import ColdLimits
+from teaselrock.coordination.rate_permits import InstanceRoster
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.state import BackendServer
 
@@ -23,10 +23,10 @@
     """`IdleLimit` that divides a server's connections among instances."""
 
     def __init__(
-        self, *, view: InstallationView, cold_limits: ColdLimits
+        self, *, view: InstallationView, roster: InstanceRoster
     ) -> None:
         self._view = view
-        self._cold_limits = cold_limits
+        self._roster = roster
 
     def max_idle(self, *, server: BackendServer) -> int:
         """Maximum of idle connections, 0 for a server that is removed."""
@@ -36,7 +36,7 @@
         if profile is None or profile.max_connections <= 0:
             return MAX_IDLE_PER_INSTANCE
         connection_share = (
-            profile.max_connections / self._cold_limits.instance_count
+            profile.max_connections / self._roster.instance_count
         )
         return max(
             1, min(MAX_IDLE_PER_INSTANCE, int(IDLE_SHARE * connection_share))
--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -47,11 +47,29 @@
     )
 
 
+def rate_limit_refusal(
+    *, server_id: str, rate: float, known_for: float, retry_after: float
+) -> Refusal:
+    """Refusal of a request since all servers are at their rate limits.
+
+    The arguments describe the limit of the best of these servers: `rate` in
+    requests per second from all instances, known for `known_for` seconds.
+    """
+    return Refusal(
+        RefusalCode.OVERLOADED,
+        Verdict.DID_NOT_RUN,
+        f'server {server_id} takes {rate:g} requests/s from all instances, '
+        f'known for {known_for:.1f} s, and no other server may take the '
+        'request',
+        retry_after=retry_after,
+    )
+
+
 def no_server_refusal(has_candidates: bool) -> Refusal:
     """Refusal of a request without a server that may take it.
 
     `has_candidates` is False if there was no server to check. Otherwise no
-    check was answered, or only by cold servers that are at their limit.
+    check was answered, or no lender of a limited server can be reached.
     """
     detail = (
         'no backend server that answered the load check may take the request'
--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -67,8 +67,11 @@
 
     async def register(
         self, *, entry: InstanceRegistration
-    ) -> Result[None, StoreError]:
-        """Write the registration of this instance."""
+    ) -> Result[bool, StoreError]:
+        """Write the registration of this instance.
+
+        The result is True if the instance had no entry before.
+        """
         ...
 
     async def read(
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
@@ -60,6 +61,8 @@
 RECONNECT_DELAY_STALE_S: Final = 1.0
 TICK_INTERVAL_S: Final = 0.1
 
+# Serves a connection whose first message is not a `FollowRequest`.
+ServeChannel = Callable[[RelayChannel, NamedTuple], Awaitable[None]]
 _ChangeMessage = TablesChanged | ServersChanged | ZonesChanged
 
 
@@ -101,8 +104,10 @@
         sync: InstallationSync,
         watch: StoreWatch,
         events: Events,
+        serve_other: ServeChannel | None = None,
     ) -> None:
         self._own = own
+        self._serve_other = serve_other
         self._link = link
         self._sync = sync
         self._watch = watch
@@ -119,7 +124,7 @@
 
     async def start(self) -> None:
         """Accept followers and start the relay task."""
-        await self._link.serve(on_channel=self._serve_follower)
+        await self._link.serve(on_channel=self._serve_channel)
         self._tasks = [asyncio.create_task(self._run())]
 
     async def stop(self) -> None:
@@ -301,11 +306,17 @@
             return self._sync.servers.apply(_decode_change(message))
         return self._sync.zones_out.apply(_decode_change(message))
 
-    async def _serve_follower(self, channel: RelayChannel) -> None:
-        """Serve one follower's connection until it ends."""
+    async def _serve_channel(self, channel: RelayChannel) -> None:
+        """Serve one accepted connection until it ends."""
         first = await channel.receive()
-        if not isinstance(first, FollowRequest):
-            return
+        if isinstance(first, FollowRequest):
+            await self._serve_follower(channel, first)
+        elif first is not None and self._serve_other is not None:
+            await self._serve_other(channel, first)
+
+    async def _serve_follower(
+        self, channel: RelayChannel, first: FollowRequest
+    ) -> None:
         follower = _Follower(channel=channel, revisions=first.revisions)
         self._followers.add(follower)
         try:
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -15,10 +15,10 @@
 from teaselrock.coordination.choice import AnnouncedLimits
 from teaselrock.coordination.choice import CheckCounts
 from teaselrock.coordination.choice import CheckedSlots
-from teaselrock.coordination.choice import ColdLimits
 from teaselrock.coordination.choice import LatencyEstimates
 from teaselrock.coordination.choice import LoadChecks
 from teaselrock.coordination.choice import ServerHistory
+from teaselrock.coordination.choice import ServerRates
 from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.dispatch import Dispatcher
@@ -32,6 +32,10 @@
 from teaselrock.coordination.ports import InstanceRegistry
 from teaselrock.coordination.ports import ObjectSource
 from teaselrock.coordination.ports import RelayLink
+from teaselrock.coordination.rate_permits import InstanceRoster
+from teaselrock.coordination.rate_permits import PermitCounts
+from teaselrock.coordination.rate_permits import PermitLender
+from teaselrock.coordination.rate_permits import RatePermits
 from teaselrock.coordination.registry import InstallationSync
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.coordination.registry import KindWatch
@@ -57,6 +61,10 @@
 ROSTER_READ_INTERVAL_S: Final = 15.0
 # Shorter at first: instances that start together register within seconds.
 ROSTER_STARTUP_PAUSES_S: Final = (0.7, 1.5, 4.0)
+# Largest deviation of these intervals, as a share.
+INTERVAL_JITTER: Final = 0.2
+# All instances have read a new entry by then.
+ENTRY_KNOWN_S: Final = ROSTER_READ_INTERVAL_S * (1 + INTERVAL_JITTER) + 1.0
 REGISTER_RETRY_INTERVAL_S: Final = 1.0
 
 
@@ -76,14 +84,12 @@
 class RoutedOptions(NamedTuple):
     """Options of one instance.
 
-    A cold server is sent at most its rate times `cold_overshoot` plus
-    `cold_slack` requests in one second.
+    `is_first_start` means that all instances start now for the first time.
     """
 
     own: InstanceRegistration
     regions: frozenset[str]
-    cold_overshoot: float = 1.0
-    cold_slack: float = 0.0
+    is_first_start: bool = False
     retry_budget: RetryBudgetLimits = RetryBudgetLimits()
 
 
@@ -92,7 +98,8 @@
 
     `view_age` is in seconds; `servers` is the number of servers in service,
     `rate_limited_servers` that of servers that announce a rate limit. Both
-    and `retry_budgets` are by service.
+    and `retry_budgets` are by service. `permits` counts those for servers
+    with limited rates.
     """
 
     view_age: float
@@ -102,6 +109,7 @@
     checks: CheckCounts
     retry_budgets: Mapping[str, BudgetCounts]
     rate_limited_servers: Mapping[str, int]
+    permits: PermitCounts
 
 
 class RoutedInstance:
@@ -116,6 +124,7 @@
     ) -> None:
         own = options.own
         self._own = own
+        self._is_first_start = options.is_first_start
         self._registry = ports.registry
         self._rng = rng
         self._view = InstallationView()
@@ -127,23 +136,22 @@
             on_removed=self._drop_server,
         )
         self._watch = self._make_watch(ports, connectivity)
+        self._roster = InstanceRoster(own=own)
+        self._lender = PermitLender(roster=self._roster, region=own.region)
+        self._permits = RatePermits(
+            roster=self._roster, lender=self._lender, link=ports.link
+        )
         self._relay = RegionRelay(
             own=own,
             link=ports.link,
             sync=self._sync,
             watch=self._watch,
             events=ports.events,
-        )
-        self._cold_limits = ColdLimits(
-            own=own,
-            rate_factor=options.cold_overshoot,
-            extra_requests=options.cold_slack,
+            serve_other=self._lender.serve,
         )
         self._connections = ConnectionPool(
             connector=ports.connector,
-            idle_limit=SharedIdleLimit(
-                view=self._view, cold_limits=self._cold_limits
-            ),
+            idle_limit=SharedIdleLimit(view=self._view, roster=self._roster),
         )
         history = ServerHistory()
         self._checks = LoadChecks(
@@ -157,8 +165,13 @@
             own_zone=AvailabilityZone(own.region, own.zone),
             view=self._view,
             load_checks=self._checks,
-            cold_limits=self._cold_limits,
-            announced_limits=self._announced_limits,
+            server_rates=ServerRates(
+                view=self._view,
+                announced_limits=self._announced_limits,
+                permits=self._permits,
+                roster=self._roster,
+                rng=random.Random(rng.getrandbits(64)),
+            ),
             history=history,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(rng.getrandbits(64)),
@@ -201,14 +214,7 @@
             self._checks.counts,
             self._runners.budget_counts,
             self._announced_limits.server_counts,
-        )
-
-    def set_cold_limits(
-        self, *, rate_factor: float, extra_requests: float
-    ) -> None:
-        """Change the limit of cold servers; see `RoutedOptions`."""
-        self._cold_limits.set_limits(
-            rate_factor=rate_factor, extra_requests=extra_requests
+            self._permits.counts,
         )
 
     async def start(self) -> None:
@@ -229,6 +235,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._permits.close()
         await self._relay.stop()
         self._sync.stop()
         await self._connections.close()
@@ -280,20 +287,29 @@
         While registering or reading fails, the relay gets an empty roster,
         so that this instance does not depend on any other.
         """
-        while (await self._registry.register(entry=self._own)).is_error():
+        registered = await self._registry.register(entry=self._own)
+        # A failed call may have written the entry.
+        may_be_new = registered.is_error() or registered.ok
+        while registered.is_error():
             self._relay.set_roster(())
             await asyncio.sleep(
                 REGISTER_RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.5)
             )
+            registered = await self._registry.register(entry=self._own)
+        if may_be_new and not self._is_first_start:
+            self._lender.delay_start(seconds=ENTRY_KNOWN_S)
         pauses = iter(ROSTER_STARTUP_PAUSES_S)
         while True:
             read = await self._registry.read()
             if read.is_ok():
-                self._cold_limits.set_roster(read.ok)
+                self._roster.set_entries(read.ok)
             pause = next(pauses, ROSTER_READ_INTERVAL_S)
             # When all instances start together, the first read may list only
             # this one; the next read decides which one watches the store.
             is_only_entry = read.is_ok() and len(read.ok) <= 1
             if not is_only_entry or pause != ROSTER_STARTUP_PAUSES_S[0]:
                 self._relay.set_roster(read.ok if read.is_ok() else ())
-            await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
+            await asyncio.sleep(
+                pause
+                * self._rng.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
+            )
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -190,9 +190,9 @@
         self._events.stop()
 
     def reload(self) -> None:
-        """Read the settings again and apply the limits for cold servers.
+        """Read the settings again; invalid ones are reported and ignored.
 
-        Invalid settings are reported and change nothing.
+        Only the stop grace period takes effect without a restart.
         """
         loaded = platform_settings.load(self._path)
         if loaded.is_error():
@@ -205,10 +205,6 @@
         if loaded.ok == self._settings:
             return
         self._settings = loaded.ok
-        limits = loaded.ok.limits
-        self._instance.set_cold_limits(
-            rate_factor=limits.cold_overshoot, extra_requests=limits.cold_slack
-        )
         self._events.emit(event=Event.SETTINGS_RELOADED)
 
     async def _poll_settings(self) -> None:
@@ -261,8 +257,7 @@
                     f'{settings.peer_host}:{settings.peer_ports[0]}',
                 ),
                 regions=frozenset(zone_regions.values()),
-                cold_overshoot=settings.limits.cold_overshoot,
-                cold_slack=settings.limits.cold_slack,
+                is_first_start=settings.is_first_start,
                 retry_budget=RetryBudgetLimits(
                     settings.limits.retry_share, settings.limits.retry_window_s
                 ),
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -65,6 +65,18 @@
             ),
             stats.rate_limited_servers,
         )
+        yield _with_samples(
+            CounterMetricFamily(
+                'teaselrock_rate_permits',
+                'Requests for permits of limited or cold servers by result.',
+                labels=('result',),
+            ),
+            {
+                'granted': stats.permits.granted,
+                'denied': stats.permits.denied,
+                'unanswered': stats.permits.unanswered,
+            },
+        )
         yield _with_samples(
             CounterMetricFamily(
                 'teaselrock_load_checks',
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -33,14 +33,11 @@
 class PlatformLimits(NamedTuple):
     """Limits in the settings of the platform; times are in seconds.
 
-    A cold server handles up to its rate times `cold_overshoot` plus
-    `cold_slack` requests in one second. Extra attempts of all instances may
+    Extra attempts of all instances may
     be up to `retry_share` of the requests of the last `retry_window_s`. The
     settings also allow a fixed number of extra attempts, which is not used.
     """
 
-    cold_overshoot: float = 1.0
-    cold_slack: float = 0.0
     retry_share: float = 0.1
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
@@ -51,6 +48,8 @@
 
     `operators_address` is that of the operators' pages and the readiness
     check; `peer_ports` are the first and the last port for peers.
+    `is_first_start` is True only when the whole system starts for the first
+    time.
     """
 
     instance_id: str
@@ -63,6 +62,7 @@
     peer_host: str
     peer_ports: tuple[int, int]
     limits: PlatformLimits
+    is_first_start: bool
 
 
 class SettingsError(NamedTuple):
@@ -128,6 +128,7 @@
             peer_host,
             peer_ports,
             limits,
+            document.get('bootstrap') is True,
         )
     )
 
@@ -151,8 +152,6 @@
             continue
     default = PlatformLimits()
     return PlatformLimits(
-        cold_overshoot=values.get('cold_overshoot', default.cold_overshoot),
-        cold_slack=values.get('cold_slack', default.cold_slack),
         retry_share=values.get('retry_budget_ratio', default.retry_share),
         retry_window_s=values.get('budget_window_s', default.retry_window_s),
         stop_grace_s=values.get('grace_s', default.stop_grace_s),
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -314,7 +314,7 @@
 
     async def register(
         self, *, entry: InstanceRegistration
-    ) -> Result[None, StoreError]:
+    ) -> Result[bool, StoreError]:
         """Create the entry, or replace the one from before a restart."""
         spec = documents.encode_instance(entry)
         path = f'/objects/{INSTANCES}'
@@ -324,7 +324,7 @@
             body={'metadata': {'name': entry.instance_id}, 'spec': spec},
         )
         if created.is_ok():
-            return Ok(None)
+            return Ok(True)
         if created.error.kind is not StoreErrorKind.CONFLICT:
             return Error(created.error)
         replaced = await self._client.call(
@@ -332,7 +332,7 @@
             path=f'{path}/{quote(entry.instance_id, safe="")}',
             body={'metadata': {'name': entry.instance_id}, 'spec': spec},
         )
-        return Error(replaced.error) if replaced.is_error() else Ok(None)
+        return Error(replaced.error) if replaced.is_error() else Ok(False)
 
     async def read(
         self,
--- a/src/teaselrock/protocol/relay_messages.py
+++ b/src/teaselrock/protocol/relay_messages.py
@@ -1,14 +1,15 @@
-"""Table of the message kinds that carry store changes within a region.
+"""Table of the message kinds between instances that serve routes.
 
-The instances of a region that watch the store send its changes to the other
-instances with these messages; this is the relay. The table is separate from
-`messages`, so that an instance without shared slots does not import parts that
-it does not run.
+The instances of a region that watch the store relay its changes to the other
+instances, and any instance requests permits for limited servers from others.
+The table is separate from `messages`, so that an instance without shared slots
+does not import parts that it does not run.
 """
 
 from collections.abc import Mapping
 from typing import Final
 
+from teaselrock.coordination.rate_permits import messages as permit_messages
 from teaselrock.coordination.registry import messages
 
 # Enough for a routing table of some thousand routes.
@@ -21,4 +22,6 @@
     92: messages.TablesChanged,
     93: messages.ServersChanged,
     94: messages.ZonesChanged,
+    95: permit_messages.PermitRequest,
+    96: permit_messages.PermitResponse,
 }
--- a/tests/choice/choice_world.py
+++ b/tests/choice/choice_world.py
@@ -9,16 +9,20 @@
 
 from teaselrock.coordination.choice import AnnouncedLimits
 from teaselrock.coordination.choice import CheckedSlots
-from teaselrock.coordination.choice import ColdLimits
 from teaselrock.coordination.choice import LatencyEstimates
 from teaselrock.coordination.choice import LoadChecks
 from teaselrock.coordination.choice import ServerHistory
+from teaselrock.coordination.choice import ServerRates
 from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import InstanceRegistration
+from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.ports import Slot
+from teaselrock.coordination.rate_permits import InstanceRoster
+from teaselrock.coordination.rate_permits import PermitLender
+from teaselrock.coordination.rate_permits import RatePermits
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendResponse
@@ -122,6 +126,13 @@
         self.is_closed = True
 
 
+class NoLink:
+    """`RelayLink` of an instance that reaches no other."""
+
+    async def connect(self, *, address: str) -> RelayChannel | None:
+        return None
+
+
 class World:
     """Backend servers with load reports, and the slots of an instance."""
 
@@ -145,15 +156,16 @@
         for server in loads:
             self.view.put_server(server)
         own = InstanceRegistration('i0', 'east', 'east-a')
-        self.cold_limits = ColdLimits(
-            own=own, rate_factor=OVERSHOOT, extra_requests=SLACK_REQUESTS
+        self.roster = InstanceRoster(own=own)
+        self.roster.set_entries((own,))
+        self.permits = RatePermits(
+            roster=self.roster,
+            lender=PermitLender(roster=self.roster, region='east'),
+            link=NoLink(),
         )
-        self.cold_limits.set_roster((own,))
         self.pool = ConnectionPool(
             connector=self,
-            idle_limit=SharedIdleLimit(
-                view=self.view, cold_limits=self.cold_limits
-            ),
+            idle_limit=SharedIdleLimit(view=self.view, roster=self.roster),
         )
         self.history = ServerHistory()
         self.slots = CheckedSlots(
@@ -165,8 +177,13 @@
                 history=self.history,
                 events=self,
             ),
-            cold_limits=self.cold_limits,
-            announced_limits=AnnouncedLimits(events=self),
+            server_rates=ServerRates(
+                view=self.view,
+                announced_limits=AnnouncedLimits(events=self),
+                permits=self.permits,
+                roster=self.roster,
+                rng=random.Random(2),
+            ),
             history=self.history,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(1),
--- a/tests/choice/test_choice.py
+++ b/tests/choice/test_choice.py
@@ -308,7 +308,7 @@
 def test_removed_server_leaves_no_state() -> None:
     """Guards against connections and counts kept for removed servers.
 
-    The counts of a cold server are kept for a second after its removal.
+    What a cold server has got is still counted after its removal.
     """
     world = World(
         {
@@ -328,10 +328,13 @@
         assert not slot.connection.is_open
         assert world.pool.idle_count == 1
         # The server may register again at once under its id, still cold.
-        assert world.cold_limits.counted_servers == {'a'}
-        await asyncio.sleep(2.0)
-        world.slots.drop_server('a')
-        assert not world.cold_limits.counted_servers
+        world.view.put_server(backend_server('a'))
+        sent = 1
+        for _ in range(50):
+            slot = (await world.acquire()).ok
+            sent += slot.server.server_id == 'a'
+            slot.release(outcome=None)
+        assert sent <= COLD_RATE_PER_S * OVERSHOOT + SLACK_REQUESTS
 
     run_paused(main())
 
@@ -380,12 +383,12 @@
     world = World({backend_server('a'): load_report()})
     profile = ServiceProfile('desk', '/h', max_connections, COLD_RATE_PER_S)
     world.view.put_table_in_force(RoutingTable(2, (ROUTE,), {'desk': profile}))
-    world.cold_limits.set_roster(
+    world.roster.set_entries(
         [
             InstanceRegistration(f'i{n}', 'east', 'east-a')
             for n in range(instances)
         ]
     )
-    limit = SharedIdleLimit(view=world.view, cold_limits=world.cold_limits)
+    limit = SharedIdleLimit(view=world.view, roster=world.roster)
     assert limit.max_idle(server=backend_server('a')) == expected
     assert limit.max_idle(server=backend_server('unknown')) == 0
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -8,6 +8,7 @@
 
 from teaselrock.coordination.choice import CheckCounts
 from teaselrock.coordination.in_memory import FixedDirectory
+from teaselrock.coordination.rate_permits import PermitCounts
 from teaselrock.coordination.routed_instance import RoutedStats
 from teaselrock.daemon.instance_stats import InstanceStats
 from teaselrock.daemon.metrics import GatewayMetrics
@@ -77,7 +78,9 @@
     Alerts may use only existing metrics.
     """
     page = (ROOT / 'docs/operators/metrics.md').read_text('utf-8')
-    stats = RoutedStats(0.0, False, 0, {}, CheckCounts(), {}, {})
+    stats = RoutedStats(
+        0.0, False, 0, {}, CheckCounts(), {}, {}, PermitCounts()
+    )
     actual = _metric_types(
         InstanceStatsCollector(read_stats=InstanceStats)
     ) | _metric_types(
--- a/tests/platform/gateway_world.py
+++ b/tests/platform/gateway_world.py
@@ -64,6 +64,7 @@
             },
             'port_range': [ports[2], ports[2] + 1],
             'bounds': ['cold_overshoot=1.5', 'cold_slack=5', 'grace_s=3.2'],
+            'bootstrap': True,
             'platform': {'address': await self.store.http.start()},
         }
         path.write_text(json.dumps(settings), 'utf-8')
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -39,6 +39,7 @@
         'grace_s=6',
         'some_flag=true',
     ],
+    'bootstrap': True,
     'platform': {'address': '10.200.1.7:8142'},
     'a_new_field': 1,
 }
@@ -101,9 +102,8 @@
     assert loaded.operators_address == ('10.1.0.35', 8140)
     assert loaded.store_address == ('10.200.1.7', 8142)
     assert loaded.peer_ports == (7660, 7675)
+    assert loaded.is_first_start
     assert loaded.limits == settings.PlatformLimits(
-        cold_overshoot=1.5,
-        cold_slack=5.0,
         retry_share=0.2,
         retry_window_s=10.0,
         stop_grace_s=6.0,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -124,8 +124,8 @@
             'i1', 'east', 'east-a', '10.0.0.1:7660'
         )
         moved = registration._replace(address='10.0.0.2:7660')
-        assert (await registry.register(entry=registration)).is_ok()
-        assert (await registry.register(entry=moved)).is_ok()
+        assert (await registry.register(entry=registration)).ok is True
+        assert (await registry.register(entry=moved)).ok is False
         assert (await registry.read()).ok == (moved,)
 
     _run(scenario)
--- a/tests/registry/fleet_world.py
+++ b/tests/registry/fleet_world.py
@@ -167,9 +167,10 @@
 
     async def register(
         self, *, entry: InstanceRegistration
-    ) -> Result[None, StoreError]:
+    ) -> Result[bool, StoreError]:
+        is_new = entry.instance_id not in self.entries
         self.entries[entry.instance_id] = entry
-        return Ok(None)
+        return Ok(is_new)
 
     async def read(
         self,
@@ -225,7 +226,7 @@
         return added
 
     async def add_instance(
-        self, name: str, region: str = 'east'
+        self, name: str, region: str = 'east', *, is_first_start: bool = True
     ) -> RoutedInstance:
         link = MemoryRelayLink(self, name)
         instance = RoutedInstance(
@@ -242,6 +243,7 @@
             options=RoutedOptions(
                 own=InstanceRegistration(name, region, f'{region}-a', name),
                 regions=frozenset(REGIONS),
+                is_first_start=is_first_start,
             ),
             rng=random.Random(self.rng.getrandbits(32)),
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -139,6 +139,7 @@
                         'retry_budget_ratio=0.2',
                         f'grace_s={STOP_GRACE_S}',
                     ],
+                    'bootstrap': True,
                     'platform': {'address': await self.proxy.start()},
                 }
             ),
