Attribute a response to a request only by its id

Seen in tests: a server that sends an earlier refusal again on a kept connection makes callers hear 'not run' (503) for a build that runs, and an idempotent request without an id could get another caller's response.

Cause: a response without the id counted as that of the request under way, a refusal included, and a foreign id was ignored where the request had none. The statuses 408, 429 and 503 of a server that ran the request were forwarded, although callers take them as a promise.

Change: a response without the id of the request is invalid, the request may have run; a response with another id belongs to another request. Only a refusal with the id states that the request did not run. A load check skips responses that carry an id.

The case 'server failure' was wrong, as it expected a 500 without an id to be forwarded; it now carries the id, and 500 and 200 without an id are cases of their own.

--- a/src/teaselrock/platform/headers.py
+++ b/src/teaselrock/platform/headers.py
@@ -39,6 +39,10 @@
 
 DEFAULT_HEALTH_TARGET: Final = '/health'
 MISDIRECTED_REQUEST_STATUS: Final = 421
+# Callers take these statuses as a promise that the request did not run.
+_PROMISING_STATUSES: Final = frozenset(
+    {408, MISDIRECTED_REQUEST_STATUS, 429, 503}
+)
 MAX_DEADLINE_MS: Final = 3_600_000
 _DECIMAL: Final = re.compile(r'[0-9]{1,9}')
 _DECIMAL_FRACTION: Final = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
@@ -109,14 +113,20 @@
             return _interpret_load_check(server, response, load)
         expected = _field_value(content.headers, REQUEST_ID)
         echoed = response.field(REQUEST_ID)
-        if echoed is not None and expected is not None and echoed != expected:
+        if echoed is not None and echoed != expected:
             return ResponseInfo(
                 failure=_failure('response to another request'),
                 is_late=True,
             )
-        failure = _not_executed_failure(
-            response, load
-        ) or _invalid_response_failure(response)
+        if echoed != expected:
+            failure: ExchangeFailure | None = _failure(
+                f'response {response.status} without the id of the request',
+                FailureKind.INVALID_RESPONSE,
+            )
+        else:
+            failure = _refusal_failure(
+                response, load, has_id=expected is not None
+            ) or _invalid_response_failure(response)
         return ResponseInfo(
             load, failure, idle_timeout=_idle_timeout(response)
         )
@@ -176,7 +186,11 @@
     server: BackendServer, response: ResponseParser, load: LoadReport
 ) -> ResponseInfo:
     server_id = response.field(SERVER_ID)
-    if server_id is None or response.field(SIGNATURE) is not None:
+    if (
+        server_id is None
+        or response.field(SIGNATURE) is not None
+        or response.field(REQUEST_ID) is not None
+    ):
         return ResponseInfo(
             failure=_failure('response does not belong to a load check'),
             is_late=True,
@@ -191,24 +205,37 @@
     return ResponseInfo(load, idle_timeout=_idle_timeout(response))
 
 
-def _not_executed_failure(
-    response: ResponseParser, load: LoadReport
+def _refusal_failure(
+    response: ResponseParser, load: LoadReport, *, has_id: bool
 ) -> ExchangeFailure | None:
-    """Failure if the response states that the request was not executed."""
+    """Failure if the response is a refusal or would pass for one.
+
+    A faulty server may send an earlier refusal again, so a refusal shows that
+    the request did not run only if both have the same id (`has_id`).
+    """
+    states_refusal = response.status == MISDIRECTED_REQUEST_STATUS or (
+        response.field(NOT_EXECUTED) is not None and response.status != 400
+    )
+    if not states_refusal and response.status not in _PROMISING_STATUSES:
+        return None
+    if not states_refusal or not has_id:
+        return _failure(
+            f'response {response.status} does not prove that this request '
+            'did not run',
+            FailureKind.INVALID_RESPONSE,
+        )
     if response.status == MISDIRECTED_REQUEST_STATUS:
         return _failure(
             'the address belongs to another backend server',
             FailureKind.SERVER_CHANGED,
             Verdict.DID_NOT_RUN,
         )
-    if response.field(NOT_EXECUTED) is not None and response.status != 400:
-        return _failure(
-            f'backend server responded {response.status}: request not run',
-            FailureKind.NOT_ACCEPTED,
-            Verdict.DID_NOT_RUN,
-            load,
-        )
-    return None
+    return _failure(
+        f'backend server responded {response.status}: request not run',
+        FailureKind.NOT_ACCEPTED,
+        Verdict.DID_NOT_RUN,
+        load,
+    )
 
 
 def _invalid_response_failure(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -222,6 +222,7 @@
 CONTENT = RequestContent(
     'GET', '/x/', (('Host', 'a.example'), (headers.REQUEST_ID, 'id1')), b''
 )
+OWN_ID_LINE = f'{headers.REQUEST_ID}: id1\r\n'
 SIGNATURE_LINE = f'{headers.SIGNATURE}: s\r\n'
 
 
@@ -236,30 +237,76 @@
 
 
 RESPONSE_CASES = (
-    ResponseCase('signed success', f'200 OK\r\n{SIGNATURE_LINE}', None),
-    ResponseCase('server failure', f'500 E\r\n{SIGNATURE_LINE}', None),
+    ResponseCase(
+        'signed success', f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}', None
+    ),
+    ResponseCase(
+        'server failure', f'500 E\r\n{SIGNATURE_LINE}{OWN_ID_LINE}', None
+    ),
+    *(
+        ResponseCase(
+            f'{status} without an id',
+            f'{status} S\r\n{SIGNATURE_LINE}',
+            FailureKind.INVALID_RESPONSE,
+            Verdict.MAY_HAVE_RUN,
+        )
+        for status in (200, 500)
+    ),
     ResponseCase(
         'full',
-        f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n',
+        f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{OWN_ID_LINE}',
         FailureKind.NOT_ACCEPTED,
         Verdict.DID_NOT_RUN,
     ),
-    ResponseCase('other 503', '503 S\r\n', None),
+    ResponseCase(
+        'refusal without an id',
+        f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n',
+        FailureKind.INVALID_RESPONSE,
+        Verdict.MAY_HAVE_RUN,
+    ),
+    ResponseCase(
+        'earlier refusal',
+        f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{headers.REQUEST_ID}: id0\r\n',
+        FailureKind.NO_RESPONSE,
+        Verdict.MAY_HAVE_RUN,
+        True,
+    ),
+    *(
+        ResponseCase(
+            f'{status} of a server that ran the request',
+            f'{status} S\r\n{SIGNATURE_LINE}{OWN_ID_LINE}',
+            FailureKind.INVALID_RESPONSE,
+            Verdict.MAY_HAVE_RUN,
+        )
+        for status in (408, 429, 503)
+    ),
+    ResponseCase(
+        'earlier load check',
+        f'503 S\r\n{headers.SERVER_ID}: i-1\r\n',
+        FailureKind.INVALID_RESPONSE,
+        Verdict.MAY_HAVE_RUN,
+    ),
     ResponseCase(
         'another server',
-        f'421 M\r\n{headers.SERVER_ID}: i-2\r\n',
+        f'421 M\r\n{headers.SERVER_ID}: i-2\r\n{OWN_ID_LINE}',
         FailureKind.SERVER_CHANGED,
         Verdict.DID_NOT_RUN,
     ),
+    ResponseCase(
+        'another server, without an id',
+        f'421 M\r\n{headers.SERVER_ID}: i-2\r\n',
+        FailureKind.INVALID_RESPONSE,
+        Verdict.MAY_HAVE_RUN,
+    ),
     ResponseCase(
         'unsigned success',
-        '200 OK\r\n',
+        f'200 OK\r\n{OWN_ID_LINE}',
         FailureKind.INVALID_RESPONSE,
         Verdict.MAY_HAVE_RUN,
     ),
     ResponseCase(
         'coded body',
-        f'200 OK\r\n{SIGNATURE_LINE}Content-Encoding: gzip\r\n',
+        f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}Content-Encoding: gzip\r\n',
         FailureKind.INVALID_RESPONSE,
         Verdict.MAY_HAVE_RUN,
     ),
@@ -334,9 +381,22 @@
         server=BACKEND, content=check, response=_parse_response(other)
     )
     assert info.failure is not None
-    late = f'200 OK\r\n{SIGNATURE_LINE}{headers.SERVER_ID}: i-1\r\n'
+    for field in (SIGNATURE_LINE, OWN_ID_LINE):
+        late = f'200 OK\r\n{field}{headers.SERVER_ID}: i-1\r\n'
+        info = dialect.interpret(
+            server=BACKEND, content=check, response=_parse_response(late)
+        )
+        assert info.is_late
+
+
+def test_response_with_an_id_is_not_for_a_request_without_one() -> None:
+    """Guards against another caller's late response."""
+    dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
+    assert BACKEND is not None
     info = dialect.interpret(
-        server=BACKEND, content=check, response=_parse_response(late)
+        server=BACKEND,
+        content=RequestContent('GET', '/x/', (('Host', 'a.example'),), b''),
+        response=_parse_response(f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}'),
     )
     assert info.is_late
 
@@ -359,8 +419,11 @@
     assert BACKEND is not None
     limit = f'{headers.RATE_LIMIT}: {text}\r\n'
     for content, head in (
-        (CONTENT, f'200 OK\r\n{SIGNATURE_LINE}{limit}'),
-        (CONTENT, f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{limit}'),
+        (CONTENT, f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}{limit}'),
+        (
+            CONTENT,
+            f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{OWN_ID_LINE}{limit}',
+        ),
         (
             dialect.load_check(server=BACKEND),
             f'200 OK\r\n{headers.SERVER_ID}: i-1\r\n{limit}',
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -81,7 +81,11 @@
     """
 
     async def scenario(world: World) -> None:
-        not_executed = (503, {headers.NOT_EXECUTED: '1'}, b'')
+        not_executed = (
+            503,
+            {headers.NOT_EXECUTED: '1', headers.REQUEST_ID: 'id1'},
+            b'',
+        )
         world.servers[0].responses = [not_executed]
         world.servers[1].load = '2,0,3,100'
         status, _, _ = await world.send_request('/b/1', method='POST')
@@ -95,6 +99,24 @@
     run(scenario)
 
 
+def test_refusal_that_may_belong_to_another_build_is_no_promise(
+    run: Run,
+) -> None:
+    """Guards against "not run" for a build that a server is running.
+
+    The server sends an earlier refusal once more, without an id.
+    """
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            server.responses = [(503, {headers.NOT_EXECUTED: '1'}, b'')]
+        status, _, _ = await world.send_request('/b/1', method='POST')
+        assert status == 502
+        assert world.received_count == 1
+
+    run(scenario)
+
+
 def test_late_response_of_a_build_is_504(run: Run) -> None:
     """Guards against a build that is reported as not run although it may have.
 
