Number the exchanges on a connection to a backend server

Seen in tests of the product's own interface: a server that sends a second copy of a response, late, on a kept connection makes the next caller get the body of the caller before it, and a repeated refusal makes callers hear 'not run' for a request that runs.

Cause: nothing in a response says to which request it belongs, so the next response on the connection counted as that of the request under way. On the platform the request id tells it; the own interface had no such field.

Change: each request carries its number on the connection (`Exchange-Number`) and servers repeat it. A response with another number is skipped, a refusal without one proves nothing, and a connection whose response has none is not used again. Bytes that arrive while no exchange is under way close the connection instead of waiting in its buffer.

The existing cases carry the number now, since they check that connections stay open.

--- a/src/teaselrock/bench/http_paths_backend.py
+++ b/src/teaselrock/bench/http_paths_backend.py
@@ -18,7 +18,12 @@
     report = LoadReport('start', ServerState.WARM, 1, 100)
     return web.Response(
         body=b'x' * 200,
-        headers={fields.BACKEND_LOAD: fields.encode_load(report)},
+        headers={
+            fields.BACKEND_LOAD: fields.encode_load(report),
+            fields.EXCHANGE_NUMBER: http.headers.get(
+                fields.EXCHANGE_NUMBER, ''
+            ),
+        },
     )
 
 
--- a/src/teaselrock/platform/headers.py
+++ b/src/teaselrock/platform/headers.py
@@ -87,6 +87,7 @@
         server: BackendServer,
         content: RequestContent,
         remaining: float,
+        number: int,
     ) -> Headers:
         """The caller's fields, the remaining time and the server's id.
 
@@ -106,6 +107,7 @@
         server: BackendServer,
         content: RequestContent,
         response: ResponseParser,
+        number: int,
     ) -> ResponseInfo:
         """Evaluate a complete response."""
         load = _load_report(server, response)
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -87,6 +87,7 @@
         server: BackendServer,
         content: RequestContent,
         remaining: float,
+        number: int,
     ) -> Headers:
         return (('Host', server.address), *content.headers)
 
@@ -96,6 +97,7 @@
         server: BackendServer,
         content: RequestContent,
         response: ResponseParser,
+        number: int,
     ) -> ResponseInfo:
         return ResponseInfo()
 
--- a/src/teaselrock/protocol/fields.py
+++ b/src/teaselrock/protocol/fields.py
@@ -15,6 +15,9 @@
 BACKEND_LOAD: Final = 'Backend-Load'
 BACKEND_VERDICT: Final = 'Backend-Verdict'
 DEADLINE_MS: Final = 'Request-Deadline-Ms'
+# Number of a request on its connection to a backend server, from 1. Responses
+# repeat it, so that a late response is not taken for that to the next request.
+EXCHANGE_NUMBER: Final = 'Exchange-Number'
 DEPTH: Final = 'Request-Depth'
 ATTEMPT: Final = 'Request-Attempt'
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
@@ -40,12 +43,14 @@
     'host',
     'authorization',
     DEADLINE_MS.lower(),
+    EXCHANGE_NUMBER.lower(),
     DEPTH.lower(),
     ATTEMPT.lower(),
 }
 DROPPED_RESPONSE_FIELDS: Final = HOP_BY_HOP | {
     BACKEND_LOAD.lower(),
     BACKEND_VERDICT.lower(),
+    EXCHANGE_NUMBER.lower(),
 }
 
 
--- a/src/teaselrock/standins/backend.py
+++ b/src/teaselrock/standins/backend.py
@@ -45,7 +45,7 @@
             transport.abort()
             raise ConnectionResetError
         if http.path == fields.LOAD_TARGET:
-            return web.Response(headers=self._load_headers())
+            return web.Response(headers=self._response_headers(http))
         content = RequestContent(
             http.method,
             http.raw_path,
@@ -57,10 +57,10 @@
             content=content, deadline=_deadline(http)
         )
         if isinstance(result, Shed):
-            headers = self._load_headers()
+            headers = self._response_headers(http)
             headers[fields.BACKEND_VERDICT] = Verdict.DID_NOT_RUN.value
             return web.Response(status=503, headers=headers)
-        headers = dict(result.headers) | self._load_headers()
+        headers = dict(result.headers) | self._response_headers(http)
         if fault is ConnectionFault.RESET:
             transport.abort()
             raise ConnectionResetError
@@ -71,8 +71,12 @@
             status=result.status, headers=headers, body=result.body
         )
 
-    def _load_headers(self) -> dict[str, str]:
-        return {fields.BACKEND_LOAD: fields.encode_load(self._model.load)}
+    def _response_headers(self, http: web.BaseRequest) -> dict[str, str]:
+        headers = {fields.BACKEND_LOAD: fields.encode_load(self._model.load)}
+        number = http.headers.get(fields.EXCHANGE_NUMBER)
+        if number is not None:
+            headers[fields.EXCHANGE_NUMBER] = number
+        return headers
 
 
 async def _send_half_body(
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -9,7 +9,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import re
+from typing import Any
 from typing import Final
 
 from expression import Error
@@ -28,6 +30,7 @@
 from teaselrock.state import Verdict
 from teaselrock.transport.dialect import BackendDialect
 from teaselrock.transport.dialect import DefaultBackendDialect
+from teaselrock.transport.dialect import ResponseInfo
 from teaselrock.transport.response_parser import MAX_BODY_BYTES
 from teaselrock.transport.response_parser import ResponseError
 from teaselrock.transport.response_parser import ResponseParser
@@ -45,13 +48,53 @@
 _FORBIDDEN_IN_HEADER: Final = re.compile(r'[\r\n\0]')
 
 
+class _ResponseReader(asyncio.StreamReader):
+    """Stream that keeps no bytes that arrive outside an exchange.
+
+    They may be a late response, which must not become that of the next
+    request.
+    """
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(limit=READ_BYTES, loop=loop)
+        self._unread_bytes = 0
+        self._on_unexpected: Callable[[], None] | None = None
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that have arrived and have not been read."""
+        return self._unread_bytes
+
+    def expect_data(self) -> None:
+        """Keep arriving bytes until `reject_data`."""
+        self._on_unexpected = None
+
+    def reject_data(self, on_unexpected: Callable[[], None]) -> None:
+        """Drop arriving bytes and call `on_unexpected`."""
+        self._on_unexpected = on_unexpected
+
+    def feed_data(self, data: Any) -> None:
+        """Called by the transport with bytes that arrived."""
+        if self._on_unexpected is not None:
+            self._on_unexpected()
+            return
+        self._unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Read up to `n` bytes; b'' at the end of the stream."""
+        data = await super().read(n)
+        self._unread_bytes -= len(data)
+        return data
+
+
 class HttpConnection:
     """Persistent connection that carries one exchange at a time."""
 
     def __init__(
         self,
         *,
-        reader: asyncio.StreamReader,
+        reader: _ResponseReader,
         writer: asyncio.StreamWriter,
         server: BackendServer,
         dialect: BackendDialect,
@@ -61,8 +104,10 @@
         self._server = server
         self._dialect = dialect
         self._load = UNKNOWN_LOAD
-        self._is_idle = True
+        self._exchange_count = 0
         self._idle_until: float | None = None
+        self._is_idle = True
+        self._reader.reject_data(self.close)
 
     @property
     def load(self) -> LoadReport:
@@ -120,6 +165,7 @@
                     f'{self._server.server_id} was sent',
                 )
             )
+        self._exchange_count += 1
         head = self._encode_head(content, deadline)
         if head is None:
             return Error(
@@ -131,6 +177,7 @@
                 )
             )
         self._is_idle = False
+        self._reader.expect_data()
         try:
             async with asyncio.timeout_at(deadline):
                 self._writer.write(head + content.body)
@@ -154,6 +201,7 @@
                 )
             )
         finally:
+            self._reader.reject_data(self.close)
             # Without a whole response the state of the connection is
             # unknown, so it is not reused.
             if not self._is_idle:
@@ -169,7 +217,10 @@
         lines += [
             f'{name}: {value}'
             for name, value in self._dialect.request_fields(
-                server=self._server, content=content, remaining=remaining
+                server=self._server,
+                content=content,
+                remaining=remaining,
+                number=self._exchange_count,
             )
         ]
         lines.append(f'Content-Length: {len(content.body)}')
@@ -189,22 +240,40 @@
         them any more, so they are skipped.
         """
         unparsed = b''
-        for _ in range(MAX_LATE_RESPONSES + 1):
-            parsed = await self._read_single_response(content.method, unparsed)
-            if parsed.is_error():
-                return Error(parsed.error)
-            response = parsed.ok
+        for skipped in range(MAX_LATE_RESPONSES + 1):
+            response = ResponseParser(method=content.method)
+            failure = await self._receive(response, unparsed)
+            if failure is not None:
+                return Error(failure)
             read = self._dialect.interpret(
-                server=self._server, content=content, response=response
+                server=self._server,
+                content=content,
+                response=response,
+                number=self._exchange_count,
             )
             trailing_data = response.trailing_data
-            if not read.is_late or trailing_data is None:
-                break
+            if (
+                not read.is_late
+                or trailing_data is None
+                or skipped == MAX_LATE_RESPONSES
+            ):
+                return self._conclude(response, read)
             unparsed = trailing_data
+        raise AssertionError('the last response is always evaluated')
+
+    def _conclude(
+        self, response: ResponseParser, read: ResponseInfo
+    ) -> Result[BackendResponse, ExchangeFailure]:
+        """Result of an exchange, and whether another one may follow."""
         # If the response came before the whole request was sent, the
         # connection is not reused.
         unsent = self._writer.transport.get_write_buffer_size()
-        self._is_idle = response.is_reusable and unsent == 0
+        self._is_idle = (
+            response.is_reusable
+            and read.proves_order
+            and unsent == 0
+            and self._reader.unread_bytes == 0
+        )
         if read.idle_timeout is not None:
             now = asyncio.get_running_loop().time()
             self._idle_until = now + max(
@@ -225,37 +294,34 @@
             )
         )
 
-    async def _read_single_response(
-        self, method: str, data: bytes
-    ) -> Result[ResponseParser, ExchangeFailure]:
+    async def _receive(
+        self, response: ResponseParser, data: bytes
+    ) -> ExchangeFailure | None:
         """Read one response, while the transport still sends the request.
 
         A server may respond, and close, before it has read a large body.
         `data` holds bytes that were read after the previous response.
         """
-        response = ResponseParser(method=method)
         while True:
             if data:
                 response.feed(data)
             if response.is_too_large:
-                return Error(
-                    ExchangeFailure(
-                        FailureKind.INVALID_RESPONSE,
-                        Verdict.MAY_HAVE_RUN,
-                        f'response body of {self._server.server_id} exceeds '
-                        f'{MAX_BODY_BYTES} bytes',
-                    )
+                return ExchangeFailure(
+                    FailureKind.INVALID_RESPONSE,
+                    Verdict.MAY_HAVE_RUN,
+                    f'response body of {self._server.server_id} exceeds '
+                    f'{MAX_BODY_BYTES} bytes',
                 )
             if response.is_complete:
-                return Ok(response)
+                return None
             data = await self._reader.read(READ_BYTES)
             if not data:
                 if (
                     self._dialect.accepts_close_delimited
                     and response.is_close_delimited
                 ):
-                    return Ok(response)
-                return Error(_incomplete_response(response))
+                    return None
+                return _incomplete_response(response)
 
 
 def _incomplete_response(response: ResponseParser) -> ExchangeFailure:
@@ -314,7 +380,7 @@
         connect_deadline = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
         try:
             async with asyncio.timeout_at(connect_deadline):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await _open_stream(host, int(port))
         except (OSError, TimeoutError) as error:
             return Error(_connect_failure(server, str(error) or 'timed out'))
         enable_tcp_keep_alive(writer)
@@ -328,6 +394,17 @@
         )
 
 
+async def _open_stream(
+    host: str, port: int
+) -> tuple[_ResponseReader, asyncio.StreamWriter]:
+    """Connect like `asyncio.open_connection`, with another reader."""
+    loop = asyncio.get_running_loop()
+    reader = _ResponseReader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
     return ExchangeFailure(
         FailureKind.CONNECT,
--- a/src/teaselrock/transport/dialect.py
+++ b/src/teaselrock/transport/dialect.py
@@ -30,13 +30,16 @@
     `failure` is set if the response is not the server's whole response to
     the request, `is_late` if it belongs to an earlier request.
     `idle_timeout` is the time for which the server keeps an idle connection,
-    in seconds, None if it is not stated.
+    in seconds, None if it is not stated. `proves_order` is False if nothing
+    shows to which request the response belongs; the connection is then not
+    used again, since a late copy would pass for the next response.
     """
 
     load: LoadReport | None = None
     failure: ExchangeFailure | None = None
     is_late: bool = False
     idle_timeout: float | None = None
+    proves_order: bool = True
 
 
 class BackendDialect(Protocol):
@@ -62,10 +65,12 @@
         server: BackendServer,
         content: RequestContent,
         remaining: float,
+        number: int,
     ) -> Headers:
         """Header fields of a request, except Content-Length.
 
-        `remaining` is the time until the deadline, in seconds.
+        `remaining` is the time until the deadline, in seconds. `number` is
+        that of the request on its connection, from 1.
         """
         ...
 
@@ -75,8 +80,9 @@
         server: BackendServer,
         content: RequestContent,
         response: ResponseParser,
+        number: int,
     ) -> ResponseInfo:
-        """Evaluate a complete response to `content`."""
+        """Evaluate a complete response to request `number`, `content`."""
         ...
 
     def response_fields(self, *, response: ResponseParser) -> Headers:
@@ -107,11 +113,13 @@
         server: BackendServer,
         content: RequestContent,
         remaining: float,
+        number: int,
     ) -> Headers:
-        """Host, remaining time in milliseconds and the caller's fields."""
+        """Host, remaining time in ms, number and the caller's fields."""
         return (
             ('Host', server.address),
             (fields.DEADLINE_MS, str(max(1, int(remaining * 1000)))),
+            (fields.EXCHANGE_NUMBER, str(number)),
             *content.headers,
         )
 
@@ -121,11 +129,34 @@
         server: BackendServer,
         content: RequestContent,
         response: ResponseParser,
+        number: int,
     ) -> ResponseInfo:
         """Read the load report and whether the server ran the request."""
+        echoed = response.field(fields.EXCHANGE_NUMBER)
+        if echoed is not None and echoed != str(number):
+            return ResponseInfo(
+                failure=ExchangeFailure(
+                    FailureKind.NO_RESPONSE,
+                    Verdict.MAY_HAVE_RUN,
+                    f'response of {server.server_id} to an earlier request',
+                ),
+                is_late=True,
+            )
+        proves_order = echoed is not None or _is_load_check(content)
         report = fields.decode_load(response.field(fields.BACKEND_LOAD) or '')
         if response.field(fields.BACKEND_VERDICT) != Verdict.DID_NOT_RUN:
-            return ResponseInfo(report)
+            return ResponseInfo(report, proves_order=proves_order)
+        if not proves_order:
+            return ResponseInfo(
+                report,
+                ExchangeFailure(
+                    FailureKind.INVALID_RESPONSE,
+                    Verdict.MAY_HAVE_RUN,
+                    f'backend server {server.server_id} responded '
+                    f'{response.status} without the number of the request',
+                ),
+                proves_order=False,
+            )
         draining = report is not None and report.state == 'draining'
         return ResponseInfo(
             report,
@@ -141,3 +172,7 @@
     def response_fields(self, *, response: ResponseParser) -> Headers:
         """Header fields that are forwarded to the caller."""
         return response.forwarded_headers(fields.DROPPED_RESPONSE_FIELDS)
+
+
+def _is_load_check(content: RequestContent) -> bool:
+    return content.target == _LOAD_CHECK.target
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -339,7 +339,10 @@
     dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
     assert BACKEND is not None
     info = dialect.interpret(
-        server=BACKEND, content=CONTENT, response=_parse_response(case.head)
+        server=BACKEND,
+        content=CONTENT,
+        response=_parse_response(case.head),
+        number=1,
     )
     failure = info.failure
     assert (failure.kind if failure else None) == case.kind
@@ -362,7 +365,10 @@
         f'{headers.COLD_LEFT_MS}: 1500\r\nKeep-Alive: timeout=10\r\n'
     )
     info = dialect.interpret(
-        server=BACKEND, content=check, response=_parse_response(loaded)
+        server=BACKEND,
+        content=check,
+        response=_parse_response(loaded),
+        number=1,
     )
     assert info.failure is None
     assert info.idle_timeout == 10.0
@@ -372,19 +378,28 @@
     assert (info.load.cold_remaining, info.load.is_healthy) == (1.5, True)
     unhealthy = own_id.replace('200 OK', '503 S')
     info = dialect.interpret(
-        server=BACKEND, content=check, response=_parse_response(unhealthy)
+        server=BACKEND,
+        content=check,
+        response=_parse_response(unhealthy),
+        number=1,
     )
     assert info.load is not None
     assert not info.load.is_healthy
     other = own_id.replace('i-1', 'i-2')
     info = dialect.interpret(
-        server=BACKEND, content=check, response=_parse_response(other)
+        server=BACKEND,
+        content=check,
+        response=_parse_response(other),
+        number=1,
     )
     assert info.failure is not None
     for field in (SIGNATURE_LINE, OWN_ID_LINE):
         late = f'200 OK\r\n{field}{headers.SERVER_ID}: i-1\r\n'
         info = dialect.interpret(
-            server=BACKEND, content=check, response=_parse_response(late)
+            server=BACKEND,
+            content=check,
+            response=_parse_response(late),
+            number=1,
         )
         assert info.is_late
 
@@ -397,6 +412,7 @@
         server=BACKEND,
         content=RequestContent('GET', '/x/', (('Host', 'a.example'),), b''),
         response=_parse_response(f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}'),
+        number=1,
     )
     assert info.is_late
 
@@ -430,7 +446,10 @@
         ),
     ):
         info = dialect.interpret(
-            server=BACKEND, content=content, response=_parse_response(head)
+            server=BACKEND,
+            content=content,
+            response=_parse_response(head),
+            number=1,
         )
         assert info.load is not None
         assert info.load.rate_limit == rate
@@ -441,7 +460,7 @@
     dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
     assert BACKEND is not None
     fields = dialect.request_fields(
-        server=BACKEND, content=CONTENT, remaining=0.7514
+        server=BACKEND, content=CONTENT, remaining=0.7514, number=1
     )
     assert fields == (
         ('Host', 'a.example'),
--- a/tests/transport/test_backend_connection.py
+++ b/tests/transport/test_backend_connection.py
@@ -21,7 +21,14 @@
     f'{fields.BACKEND_LOAD}: start=s, state=warm, in-flight=0, bears=2\r\n'
 ).encode()
 LOADED = b'HTTP/1.1 204 No Content\r\n' + LOAD + b'\r\n'
-OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+# The load check is the first exchange of a connection.
+NUMBER = f'{fields.EXCHANGE_NUMBER}: 2'
+OK = (f'HTTP/1.1 200 OK\r\n{NUMBER}\r\nContent-Length: 2\r\n\r\nok').encode()
+UNNUMBERED = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+NUMBERED_CHECK = (
+    f'HTTP/1.1 200 OK\r\n{fields.EXCHANGE_NUMBER}: 1\r\n'
+    'Content-Length: 0\r\n\r\n'
+).encode()
 GET = RequestContent('GET', '/a', (), b'')
 HEAD = RequestContent('HEAD', '/a', (), b'')
 MAY = Verdict.MAY_HAVE_RUN
@@ -44,7 +51,7 @@
 
 
 def _response(head: str, body: str = '') -> bytes:
-    return f'HTTP/1.1 {head}\r\n\r\n{body}'.encode()
+    return f'HTTP/1.1 {head}\r\n{NUMBER}\r\n\r\n{body}'.encode()
 
 
 RESET = (FailureKind.NO_RESPONSE, MAY)
@@ -95,6 +102,22 @@
         (200, b'ok'),
         True,
     ),
+    Case('without its number', UNNUMBERED, (200, b'ok'), False),
+    Case(
+        'refusal without its number',
+        b'HTTP/1.1 503 Busy\r\nBackend-Verdict: did-not-run\r\n'
+        b'Content-Length: 0\r\n\r\n',
+        (FailureKind.INVALID_RESPONSE, MAY),
+        False,
+    ),
+    Case('copy of the load check', NUMBERED_CHECK + OK, (200, b'ok'), True),
+    Case(
+        'refusal of an earlier request',
+        b'HTTP/1.1 503 Busy\r\nBackend-Verdict: did-not-run\r\n'
+        b'Exchange-Number: 1\r\nContent-Length: 0\r\n\r\n' + OK,
+        (200, b'ok'),
+        True,
+    ),
     Case('second response', OK + OK, (200, b'ok'), False),
     Case('garbage after', OK + b'garbage\r\n', (200, b'ok'), False),
     Case(
