Bound the memory of all responses that are being received

Reported by the users: a faulty server may send bytes that are no response without end.

Cause: only heads, and the decoded body of each single response, had a limit. Chunk extensions and trailers had none, and what all responses of an instance hold together had none.

Change: a response may not send more than 64 KiB without a byte of its body, and 32 MiB in all. `ResponseMemory` bounds what all responses hold together to an eighth of the memory in the settings; above it the largest response of the server that holds the most is dropped, so a faulty server loses its own exchanges. The client of the store shares the bound. Two metrics show it.

--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -41,10 +41,16 @@
 from teaselrock.transport.operators_listener import make_operators_listener
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.relay_link import StreamRelayLink
+from teaselrock.transport.response_memory import DEFAULT_LIMIT_BYTES
+from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.routed_front_end import RoutedFrontEnd
 
 T = TypeVar('T')
 
+# Part of the machine's memory for responses under way. Half of the memory is
+# the product's; a response is copied up to twice on its way to the caller.
+RESPONSE_MEMORY_SHARE: Final = 1 / 8
+
 EXIT_OK: Final = 0
 EXIT_NOT_STARTED: Final = 1
 # After SIGTERM the platform still sends new connections until two readiness
@@ -104,10 +110,14 @@
             on_dropped=self._metrics.on_log_line_dropped,
             stream=sys.stdout,
         )
+        self._response_memory = ResponseMemory(
+            limit_bytes=_response_memory_limit(settings)
+        )
         self._store = store.StoreClient(
             address=(
                 f'{settings.store_address.host}:{settings.store_address.port}'
-            )
+            ),
+            memory=self._response_memory,
         )
         self._instance = self._make_instance()
         view = self._instance.view
@@ -117,6 +127,7 @@
             collector=RoutedCollector(
                 read_stats=lambda: self._instance.stats,
                 store_calls=lambda: self._store.calls,
+                responses=self._response_memory,
             ),
         )
         self._caller_listener = CallerListener(
@@ -229,7 +240,8 @@
                 connector=HttpConnector(
                     dialect=headers.PlatformBackendDialect(
                         health_target=self._health_target
-                    )
+                    ),
+                    memory=self._response_memory,
                 ),
                 tables=self._object_source(
                     store.TABLES, documents.decode_table
@@ -292,6 +304,13 @@
         }
 
 
+def _response_memory_limit(settings: ProcessSettings) -> int:
+    memory_bytes = settings.limits.memory_bytes
+    if memory_bytes is None:
+        return DEFAULT_LIMIT_BYTES
+    return int(memory_bytes * RESPONSE_MEMORY_SHARE)
+
+
 def _modified_at_ns(path: pathlib.Path) -> int:
     """Modification time in nanoseconds, 0 if the file cannot be read."""
     try:
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -14,6 +14,7 @@
 from prometheus_client.registry import Collector
 
 from teaselrock.coordination.routed_instance import RoutedStats
+from teaselrock.transport.response_memory import ResponseMemory
 
 
 class RoutedCollector(Collector):
@@ -27,9 +28,11 @@
         *,
         read_stats: Callable[[], RoutedStats],
         store_calls: Callable[[], Mapping[str, int]],
+        responses: ResponseMemory,
     ) -> None:
         self._read_stats = read_stats
         self._store_calls = store_calls
+        self._responses = responses
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics of the instance."""
@@ -49,6 +52,16 @@
             'Idle connections to backend servers.',
             stats.idle_connections,
         )
+        yield GaugeMetricFamily(
+            'teaselrock_response_bytes',
+            'Bytes of the responses that are being received from servers.',
+            self._responses.total_bytes,
+        )
+        yield CounterMetricFamily(
+            'teaselrock_dropped_responses',
+            'Responses that were dropped because they exceed the memory.',
+            self._responses.dropped_count,
+        )
         yield _with_samples(
             GaugeMetricFamily(
                 'teaselrock_servers_in_service',
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -33,14 +33,16 @@
 class PlatformLimits(NamedTuple):
     """Limits in the settings of the platform; times are in seconds.
 
-    Extra attempts of all instances may
-    be up to `retry_share` of the requests of the last `retry_window_s`. The
-    settings also allow a fixed number of extra attempts, which is not used.
+    Extra attempts of all instances may be up to `retry_share` of the requests
+    of the last `retry_window_s`. The settings also allow a fixed number of
+    extra attempts, which is not used. `memory_bytes` is the memory of the
+    machine, None if it is not stated.
     """
 
     retry_share: float = 0.1
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
+    memory_bytes: int | None = None
 
 
 class ProcessSettings(NamedTuple):
@@ -114,6 +116,8 @@
         peer_ports = (int(first), int(last))
         field = 'bounds'
         limits = _limits(document.get(field) or ())
+        field = 'limits.memory_mb'
+        limits = limits._replace(memory_bytes=_memory_bytes(document))
     except MALFORMED_ERRORS as error:
         return Error(SettingsError(field, str(error) or 'missing'))
     return Ok(
@@ -140,6 +144,15 @@
     return Address(host, int(port))
 
 
+def _memory_bytes(document: Any) -> int | None:
+    megabytes = (document.get('limits') or {}).get('memory_mb')
+    if megabytes is None:
+        return None
+    if float(megabytes) <= 0:
+        raise ValueError('must be positive')
+    return int(float(megabytes) * 1_000_000)
+
+
 def _limits(assignments: Any) -> PlatformLimits:
     """Decode the limits, a list of strings `name=value`."""
     values: dict[str, float] = {}
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -42,6 +42,7 @@
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.dialect import Headers
 from teaselrock.transport.dialect import ResponseInfo
+from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.response_parser import ResponseParser
 
 T = TypeVar('T')
@@ -108,14 +109,18 @@
 class StoreClient:
     """Makes calls to the store on a small pool of connections."""
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, memory: ResponseMemory | None = None
+    ) -> None:
         # The connection pool addresses a server as a `BackendServer`; only
         # id and address are used.
         self._server = BackendServer(
             'store', '', AvailabilityZone('', ''), address, 1
         )
         self._connections = ConnectionPool(
-            connector=HttpConnector(dialect=_PlainHttpDialect()),
+            connector=HttpConnector(
+                dialect=_PlainHttpDialect(), memory=memory
+            ),
             idle_limit=FixedIdleLimit(count=MAX_IDLE_CONNECTIONS),
         )
         self._calls: Counter[str] = Counter()
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
 import re
 from typing import Any
 from typing import Final
@@ -31,6 +32,8 @@
 from teaselrock.transport.dialect import BackendDialect
 from teaselrock.transport.dialect import DefaultBackendDialect
 from teaselrock.transport.dialect import ResponseInfo
+from teaselrock.transport.response_memory import HeldResponse
+from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.response_parser import MAX_BODY_BYTES
 from teaselrock.transport.response_parser import ResponseError
 from teaselrock.transport.response_parser import ResponseParser
@@ -52,7 +55,7 @@
     """Stream that keeps no bytes that arrive outside an exchange.
 
     They may be a late response, which must not become that of the next
-    request.
+    request, or a stream without an end.
     """
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
@@ -98,11 +101,13 @@
         writer: asyncio.StreamWriter,
         server: BackendServer,
         dialect: BackendDialect,
+        memory: ResponseMemory,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._server = server
         self._dialect = dialect
+        self._memory = memory
         self._load = UNKNOWN_LOAD
         self._exchange_count = 0
         self._idle_until: float | None = None
@@ -178,10 +183,14 @@
             )
         self._is_idle = False
         self._reader.expect_data()
+        held = self._memory.open(
+            server_id=self._server.server_id,
+            abort=self._writer.transport.abort,
+        )
         try:
             async with asyncio.timeout_at(deadline):
                 self._writer.write(head + content.body)
-                result = await self._read_response(content)
+                result = await self._read_response(content, held)
         except TimeoutError:
             return Error(
                 ExchangeFailure(
@@ -201,6 +210,7 @@
                 )
             )
         finally:
+            held.close()
             self._reader.reject_data(self.close)
             # Without a whole response the state of the connection is
             # unknown, so it is not reused.
@@ -232,7 +242,7 @@
         return head.encode('utf-8', 'surrogateescape')
 
     async def _read_response(
-        self, content: RequestContent
+        self, content: RequestContent, held: HeldResponse
     ) -> Result[BackendResponse, ExchangeFailure]:
         """Read until the response to `content`.
 
@@ -241,24 +251,24 @@
         """
         unparsed = b''
         for skipped in range(MAX_LATE_RESPONSES + 1):
-            response = ResponseParser(method=content.method)
-            failure = await self._receive(response, unparsed)
-            if failure is not None:
-                return Error(failure)
-            read = self._dialect.interpret(
-                server=self._server,
-                content=content,
-                response=response,
-                number=self._exchange_count,
-            )
-            trailing_data = response.trailing_data
-            if (
-                not read.is_late
-                or trailing_data is None
-                or skipped == MAX_LATE_RESPONSES
-            ):
-                return self._conclude(response, read)
-            unparsed = trailing_data
+            with closing(ResponseParser(method=content.method)) as response:
+                failure = await self._receive(response, unparsed, held)
+                if failure is not None:
+                    return Error(failure)
+                read = self._dialect.interpret(
+                    server=self._server,
+                    content=content,
+                    response=response,
+                    number=self._exchange_count,
+                )
+                trailing_data = response.trailing_data
+                if (
+                    not read.is_late
+                    or trailing_data is None
+                    or skipped == MAX_LATE_RESPONSES
+                ):
+                    return self._conclude(response, read)
+                unparsed = trailing_data
         raise AssertionError('the last response is always evaluated')
 
     def _conclude(
@@ -295,7 +305,7 @@
         )
 
     async def _receive(
-        self, response: ResponseParser, data: bytes
+        self, response: ResponseParser, data: bytes, held: HeldResponse
     ) -> ExchangeFailure | None:
         """Read one response, while the transport still sends the request.
 
@@ -315,6 +325,11 @@
             if response.is_complete:
                 return None
             data = await self._reader.read(READ_BYTES)
+            held.add(len(data))
+            if held.is_dropped:
+                raise ResponseError(
+                    'responses under way exceed the memory for them'
+                )
             if not data:
                 if (
                     self._dialect.accepts_close_delimited
@@ -342,8 +357,14 @@
 class HttpConnector:
     """Opens connections; reads a load report first if the dialect has one."""
 
-    def __init__(self, *, dialect: BackendDialect | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        dialect: BackendDialect | None = None,
+        memory: ResponseMemory | None = None,
+    ) -> None:
         self._dialect = dialect or DefaultBackendDialect()
+        self._memory = memory or ResponseMemory()
 
     async def connect(
         self, *, server: BackendServer, deadline: float
@@ -390,6 +411,7 @@
                 writer=writer,
                 server=server,
                 dialect=self._dialect,
+                memory=self._memory,
             )
         )
 
--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -1,6 +1,7 @@
 """Parses one response of a backend server, with httptools.
 
-`backend` passes it the bytes that it reads. Head and body have size limits.
+`backend` passes it the bytes that it reads. Head, body and what surrounds the
+parts of a body (chunk extensions, trailers) have size limits.
 Bytes after the end of the response are detected, so that they never become
 part of the next response.
 """
@@ -12,7 +13,12 @@
 from teaselrock.protocol import fields
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# Also the most bytes that may follow each other without a byte of the body:
+# interim heads, chunk extensions, trailers.
 MAX_HEAD_BYTES: Final = 64 * 1024
+# Bytes of a whole response. The framing of small chunks may be as large as
+# their content.
+MAX_RESPONSE_BYTES: Final = 2 * MAX_BODY_BYTES
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -28,7 +34,8 @@
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
-        self._head_bytes = 0
+        self._total_bytes = 0
+        self._bytes_since_body = 0
         self._has_head = False
         self._is_complete = False
         self._has_trailing_data = False
@@ -96,6 +103,15 @@
             return None
         return body[int(length) :] or None
 
+    def close(self) -> None:
+        """Release body and parser, which refers to this object.
+
+        The garbage collector would find large bodies only much later.
+        """
+        self._body = bytearray()
+        self._raw = b''
+        del self._parser
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes.
 
@@ -103,8 +119,7 @@
         """
         if len(self._raw) <= MAX_HEAD_BYTES:
             self._raw += data
-        if not self._has_head:
-            self._head_bytes += len(data)
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -114,10 +129,21 @@
             if not self._is_complete:
                 raise
             self._has_trailing_data = True
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+        self._total_bytes += len(data)
+        self._bytes_since_body += len(data)
+        if len(self._body) > body_bytes:
+            self._bytes_since_body = 0
+        if not self._is_complete:
+            self._check_size()
+
+    def _check_size(self) -> None:
+        if self._bytes_since_body > MAX_HEAD_BYTES:
+            part = 'trailer or chunk head' if self._has_head else 'head'
             raise ResponseError(
-                f'response head exceeds {MAX_HEAD_BYTES} bytes'
+                f'response {part} exceeds {MAX_HEAD_BYTES} bytes'
             )
+        if self._total_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseError(f'response exceeds {MAX_RESPONSE_BYTES} bytes')
 
     def field(self, name: str) -> str | None:
         """First value of a header field, None if it is missing."""
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -18,6 +18,7 @@
 from teaselrock.protocol import problem
 from teaselrock.state import RefusalCode
 from teaselrock.state.configuration import empty_document
+from teaselrock.transport.response_memory import ResponseMemory
 
 ROOT = pathlib.Path(__file__).parents[2]
 EXAMPLES = ROOT / 'examples'
@@ -84,7 +85,11 @@
     actual = _metric_types(
         InstanceStatsCollector(read_stats=InstanceStats)
     ) | _metric_types(
-        RoutedCollector(read_stats=lambda: stats, store_calls=dict)
+        RoutedCollector(
+            read_stats=lambda: stats,
+            store_calls=dict,
+            responses=ResponseMemory(),
+        )
     )
     listed = re.findall(r'^\| `(teaselrock_\w+)` \| (\w+) \|', page, re.M)
     assert sorted(listed) == sorted(actual)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -121,6 +121,8 @@
         ('platform', {'address': 'h:x'}, 'platform.address'),
         ('port_range', [1], 'port_range'),
         ('bounds', 5, 'bounds'),
+        ('limits', {'memory_mb': 0}, 'limits.memory_mb'),
+        ('limits', {'memory_mb': 'x'}, 'limits.memory_mb'),
     ],
 )
 def test_bad_settings_name_the_field(
