Count the time of suspension on the clock of the daemons

Reported by operators of similar systems: a process that was paused for some seconds acted on a permission that had run out meanwhile. It can happen here while a machine is suspended: the monotonic clock, on which the loop measures leases, permits and deadlines, stands still then.

Change: gateways run on an event loop whose clock is CLOCK_BOOTTIME. One place covers slots, claims, allowances, permits and deadlines, which all read the loop's clock right before a request is sent.

A process that is only stopped (SIGSTOP) was covered before: the monotonic clock counts that time.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -25,6 +25,7 @@
 from teaselrock.coordination.instance import InstancePorts
 from teaselrock.coordination.instance import RunnableInstance
 from teaselrock.coordination.standalone import StandaloneInstance
+from teaselrock.daemon import event_loop
 from teaselrock.daemon import instance_stats
 from teaselrock.daemon import options as options_module
 from teaselrock.daemon import settings as settings_module
@@ -359,5 +360,4 @@
         for diagnostic in loaded.error:
             sys.stderr.write(f'{path}:{diagnostic}\n')
         return EXIT_NOT_STARTED
-    code: int = asyncio.run(_run(loaded.ok))
-    return code
+    return event_loop.run(_run(loaded.ok))
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -25,6 +25,7 @@
 from teaselrock.coordination.routed_instance import RoutedInstance
 from teaselrock.coordination.routed_instance import RoutedOptions
 from teaselrock.coordination.routed_instance import RoutedPorts
+from teaselrock.daemon import event_loop
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.routed_metrics import RoutedCollector
@@ -345,8 +346,7 @@
             f'{path}: missing or invalid: {error.field} {error.reason}\n'
         )
         return EXIT_NOT_STARTED
-    code: int = asyncio.run(_run(loaded.ok, path))
-    return code
+    return event_loop.run(_run(loaded.ok, path))
 
 
 def main() -> int:
