Serve callers that connected just before a planned stop

Reported by operators of similar systems: during a planned stop under load, requests that had just been accepted were cut off without an answer. It can happen here, on both interfaces.

Cause: closing the listening socket resets the connections in its queue, which grows while the event loop is busy; and a connection without any request so far counted as idle and was closed at once, while its first request was on its way.

A connection that was used before and is idle is closed as before: its callers had their last response with `Connection: close`, or were idle since the stop began.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import time
 from typing import Final
@@ -41,6 +42,7 @@
 from teaselrock.protocol.document_codec import JsonDocumentCodec
 from teaselrock.protocol.messages import KINDS
 from teaselrock.state.configuration import empty_document
+from teaselrock.transport.accept_queue import BACKLOG
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_server import CallerServer
 from teaselrock.transport.front_end import FrontEnd
@@ -163,6 +165,8 @@
         self._operators_endpoint = self._make_operators_endpoint()
         self._caller_server: CallerServer | None = None
         self._runner: web.ServerRunner | None = None
+        self._listening: socket.socket | None = None
+        self._site: web.SockSite | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -213,8 +217,16 @@
         await self._instance.start()
         self._runner = web.ServerRunner(self._caller_server, access_log=None)
         await self._runner.setup()
-        host, port = self._options.listen
-        await web.TCPSite(self._runner, host, port).start()
+        address = self._options.listen
+        self._listening = socket.create_server(
+            address,
+            family=socket.AF_INET6 if ':' in address[0] else socket.AF_INET,
+            backlog=BACKLOG,
+        )
+        self._site = web.SockSite(
+            self._runner, self._listening, backlog=BACKLOG
+        )
+        await self._site.start()
         self._is_listening = True
         self._events.emit(
             event=Event.GATEWAY_STARTED, incarnation=self._incarnation
@@ -232,6 +244,14 @@
         self._events.emit(event=Event.GATEWAY_STOPPING)
         self._front_end.close_connections()
         await asyncio.sleep(self._options.stop_delay_s)
+        if (
+            self._caller_server is not None
+            and self._site is not None
+            and self._listening is not None
+        ):
+            await self._caller_server.stop_accepting(
+                site=self._site, listening=self._listening
+            )
         if self._runner is not None and self._caller_server is not None:
             # Set at stop, since a new configuration may change the deadlines.
             self._caller_server.set_shutdown_timeout(
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -15,6 +15,9 @@
 from typing import Protocol
 
 from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.accept_queue import accept_queued
+from teaselrock.transport.accept_queue import BACKLOG
+from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.request_parser import RequestParser
@@ -26,8 +29,6 @@
 WRITE_TIMEOUT_S: Final = 10.0
 # Time for which input is still read after the response to an invalid request.
 LINGER_S: Final = 1.0
-# Length of the queue of connections that wait to be accepted.
-BACKLOG: Final = 512
 # Interval at which a closing listener checks for connections that became idle.
 CLOSE_POLL_S: Final = 0.05
 _BODILESS_STATUSES: Final = frozenset({204, 304})
@@ -88,11 +89,22 @@
         self._response_expected = asyncio.Event()
         self._response_written = asyncio.Event()
         self._error: RequestError | None = None
+        self._opened_at = asyncio.get_running_loop().time()
+        self._has_received = False
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or served."""
-        return not self._pending and not self._parser.is_in_request
+        """Whether no request is being received, served or just to come."""
+        return (
+            not self._pending
+            and not self._parser.is_in_request
+            and (self._has_received or self._age >= FIRST_REQUEST_TIMEOUT_S)
+        )
+
+    @property
+    def _age(self) -> float:
+        """Seconds since the connection was accepted."""
+        return asyncio.get_running_loop().time() - self._opened_at
 
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
@@ -148,6 +160,7 @@
             data = await self._read()
             if not data:
                 return
+            self._has_received = True
             try:
                 requests = self._parser.feed(data)
             except RequestError as error:
@@ -267,6 +280,8 @@
         self._connections: set[CallerConnection] = set()
         self._is_closing = False
         self._server: asyncio.Server | None = None
+        # Tasks that set up connections from the queue of the closed socket.
+        self._queued: set[asyncio.Task[object]] = set()
 
     @property
     def connections(self) -> int:
@@ -292,8 +307,15 @@
         self._is_closing = True
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections."""
+        """Close the listening socket and idle connections.
+
+        Connections that wait to be accepted are accepted first, since closing
+        the socket resets them.
+        """
         if self._server is not None:
+            self._queued = accept_queued(
+                self._server.sockets, self._make_protocol
+            )
             self._server.close()
         for connection in tuple(self._connections):
             connection.close_idle()
@@ -302,6 +324,11 @@
         """Wait up to `limit` seconds for requests, then abort the rest."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + limit
+        if self._queued:
+            await asyncio.wait(self._queued, timeout=limit)
+        if limit > 0:
+            # Connections that were accepted last are set up in later turns.
+            await asyncio.sleep(CLOSE_POLL_S)
         while self._connections and loop.time() < deadline:
             for connection in tuple(self._connections):
                 connection.close_idle()
@@ -309,6 +336,12 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        loop = asyncio.get_running_loop()
+        return asyncio.StreamReaderProtocol(
+            asyncio.StreamReader(loop=loop), self._accept, loop=loop
+        )
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -4,6 +4,9 @@
 refusal. `front_end` handles well-formed requests.
 """
 
+import asyncio
+import socket
+from typing import Any
 from typing import Final
 
 from aiohttp import web
@@ -13,10 +16,14 @@
 from teaselrock.state import Refusal
 from teaselrock.state import RefusalCode
 from teaselrock.state import Verdict
+from teaselrock.transport.accept_queue import accept_queued
+from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
 
 # Time for which input is read after a refused body. Closing a socket with
 # unread input resets the connection, and the caller could lose the refusal.
 LINGER_S: Final = 1.0
+# Interval at which a stopping server checks for first requests.
+FIRST_REQUEST_POLL_S: Final = 0.05
 
 _MALFORMED_REQUEST: Final = Refusal(
     RefusalCode.BAD_REQUEST, Verdict.DID_NOT_RUN, 'malformed HTTP request'
@@ -41,7 +48,23 @@
 class _Connection(RequestHandler):
     """Connection of a caller."""
 
-    __slots__ = ()
+    __slots__ = ('_opened_at', '_has_received')
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._opened_at = asyncio.get_running_loop().time()
+        self._has_received = False
+
+    @property
+    def expects_first_request(self) -> bool:
+        """Whether the first request may still be on its way."""
+        age = asyncio.get_running_loop().time() - self._opened_at
+        return not self._has_received and age < FIRST_REQUEST_TIMEOUT_S
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the transport with bytes that arrived."""
+        self._has_received = True
+        super().data_received(data)
 
     def handle_error(
         self,
@@ -75,6 +98,27 @@
         """Set the longest wait for requests in progress at shutdown."""
         self._shutdown_timeout_s = seconds
 
+    async def stop_accepting(
+        self, *, site: web.SockSite, listening: socket.socket
+    ) -> None:
+        """Stop the site of a listening socket, and wait for first requests.
+
+        Connections that wait to be accepted, and those without a request so
+        far, are served before `shutdown` closes idle connections.
+        """
+        queued = accept_queued((listening,), self)
+        await site.stop()
+        if queued:
+            await asyncio.wait(queued)
+        # Connections that were accepted last are set up in later turns.
+        await asyncio.sleep(FIRST_REQUEST_POLL_S)
+        while any(
+            connection.expects_first_request
+            for connection in self.connections
+            if isinstance(connection, _Connection)
+        ):
+            await asyncio.sleep(FIRST_REQUEST_POLL_S)
+
     async def shutdown(self, timeout: float | None = None) -> None:
         """Wait for the requests in progress, then close connections."""
         await super().shutdown(self._shutdown_timeout_s or timeout)
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 from typing import NamedTuple
 
 import pytest
@@ -17,6 +18,7 @@
 LIMITS = CallerLimits(
     max_head_bytes=2000, max_body_bytes=100, head_timeout=0.3, idle_timeout=0.6
 )
+QUEUED_CONNECTIONS = 5
 
 
 class Handler:
@@ -212,6 +214,65 @@
     _run(scenario)
 
 
+def test_stop_serves_connections_that_wait_to_be_accepted() -> None:
+    """Guards against a stop that resets requests in the listening queue."""
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        assert listener.address is not None
+        # The event loop does not run between connecting and the stop, so only
+        # the kernel has accepted these connections.
+        queued = [
+            socket.create_connection(listener.address)
+            for _ in range(QUEUED_CONNECTIONS)
+        ]
+        for connection in queued:
+            connection.sendall(b'GET /queued HTTP/1.1\r\nHost: h\r\n\r\n')
+        listener.begin_close()
+        listener.stop_accepting()
+        await listener.wait_closed(limit=5.0)
+        for connection in queued:
+            with connection:
+                assert connection.recv(1000).startswith(b'HTTP/1.1 200')
+        assert handler.started == ['/queued'] * QUEUED_CONNECTIONS
+
+    _run(scenario)
+
+
+def test_stop_waits_for_the_first_request_of_a_new_connection() -> None:
+    """Guards against a stop that cuts off callers that just connected."""
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        await _until(lambda: listener.connections == 1)
+        listener.begin_close()
+        listener.stop_accepting()
+        closing = asyncio.create_task(listener.wait_closed(limit=5.0))
+        await asyncio.sleep(0.1)
+        client.send('/first')
+        assert await client.read_response() == (200, b'/first', True)
+        await closing
+
+    _run(scenario)
+
+
+def test_stop_closes_new_connections_without_a_request() -> None:
+    """Guards against a stop that waits for callers that only connect."""
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        await _until(lambda: listener.connections == 1)
+        listener.begin_close()
+        listener.stop_accepting()
+        await listener.wait_closed(limit=15.0)
+        assert await client.reader.read() == b''
+
+    _run(scenario)
+
+
 class Case(NamedTuple):
     """Bytes of a caller and the status of the only response."""
 
