Compare facts with a ready peer before an instance is ready

Reported by operators of similar systems: after a restart of a process, a server that had left was in use again. It can happen here: the list of the platform lags, only the peers know from load reports which servers drain, and a restarted instance was ready before it had asked them.

Change: an instance is ready only once its facts were compared with a ready peer. The first comparison does not wait for the digests to settle. Peers that start at the same time know no facts either, so one of them counts only if no ready one answers within 1 s; without any peer nothing is waited for.

--- a/src/teaselrock/coordination/dissemination/facts.py
+++ b/src/teaselrock/coordination/dissemination/facts.py
@@ -35,6 +35,9 @@
 # after this time without a change, and then at most once in each interval.
 SETTLE_TIME_S: Final = 0.5
 COMPARE_INTERVAL_S: Final = 1.0
+# Peers that are starting know no facts either. Until this long after the first
+# status of a peer, only a comparison with a ready peer counts.
+STARTING_PEERS_WAIT_S: Final = 1.0
 # Facts about unlisted subjects are kept this long, since the platform list
 # lags.
 UNLISTED_RETENTION_S: Final = 600.0
@@ -72,6 +75,9 @@
         self._epoch = 0
         self._changed_at = float('-inf')
         self._compared_at = float('-inf')
+        self._is_synchronized = False
+        self._first_status_at: float | None = None
+        self._ready_peers: set[str] = set()
         self._listeners: list[Callable[[Fact], None]] = []
         hub.set_priorities(
             priorities={FactPush: Priority.FACTS, FactSummary: Priority.FACTS}
@@ -94,6 +100,14 @@
             digest ^= bucket
         return digest
 
+    @property
+    def is_synchronized(self) -> bool:
+        """Whether this instance has the facts that a ready peer had.
+
+        A started instance knows none, and would use servers that leave.
+        """
+        return self._is_synchronized
+
     def get(self, *, kind: str, subject: str) -> Fact | None:
         """The fact about a subject, None if there is none."""
         return self._facts.get((kind, subject))
@@ -157,11 +171,20 @@
         self._merge((Fact(kind, subject, revision, start_id, is_leaving),))
 
     def on_status(self, *, sender: str, status: MemberStatus) -> None:
-        """Send a summary to a peer whose digest differs for some time."""
+        """Send a summary to a peer whose digest differs for some time.
+
+        Before the first comparison it is sent at once.
+        """
         now = asyncio.get_running_loop().time()
-        if (
-            status.facts_digest != self.digest
-            and now - self._changed_at > SETTLE_TIME_S
+        if self._first_status_at is None:
+            self._first_status_at = now
+        if status.is_ready:
+            self._ready_peers.add(sender)
+        if status.facts_digest == self.digest:
+            self._on_compared(sender)
+            return
+        if not self._is_synchronized or (
+            now - self._changed_at > SETTLE_TIME_S
             and now - self._compared_at > COMPARE_INTERVAL_S
         ):
             self._compared_at = now
@@ -224,3 +247,15 @@
             self._hub.send(
                 to=sender, message=FactSummary(tuple(self._buckets), False)
             )
+        else:
+            # The facts that this instance lacked were sent before the reply.
+            self._on_compared(sender)
+
+    def _on_compared(self, peer: str) -> None:
+        """Record that this instance has all facts of a peer."""
+        now = asyncio.get_running_loop().time()
+        if peer in self._ready_peers or (
+            self._first_status_at is not None
+            and now - self._first_status_at >= STARTING_PEERS_WAIT_S
+        ):
+            self._is_synchronized = True
--- a/tests/dissemination/test_dissemination.py
+++ b/tests/dissemination/test_dissemination.py
@@ -19,6 +19,8 @@
 CHANGE_TARGET_S = 1.0
 CHANGE_LIMIT_S = 4.0
 OUT_OF_SERVICE_LIMIT_S = 2.0
+# Time for which restarted instances are watched.
+RESTART_WATCH_S = 10.0
 
 
 def _with_weight(weight: int) -> Document:
@@ -395,3 +397,45 @@
         )
 
     run_paused(scenario())
+
+
+@pytest.mark.parametrize('restarted', [1, 5])
+@pytest.mark.parametrize('seed', range(3))
+def test_restarted_instances_use_no_server_that_left(
+    seed: int, restarted: int
+) -> None:
+    """Guards against a restart that brings a draining server back into use.
+
+    The platform still lists the server, and only the peers know of the drain.
+    Some of them are starting too.
+    """
+
+    async def scenario() -> None:
+        fleet = ControlFleet(seed=seed)
+        server = BackendServer(
+            'desk-1', 'desk', AvailabilityZone('east', 'a'), '10.0.0.1:80', 3
+        )
+        fleet.platform.servers = (server,)
+        await fleet.start_all(9)
+        fleet.control_planes['gw-2'].facts.announce(
+            kind=SERVER, subject='desk-1', start_id='s1', is_leaving=True
+        )
+        await asyncio.sleep(OUT_OF_SERVICE_LIMIT_S)
+        indexes = range(9 - restarted, 9)
+        for index in indexes:
+            await fleet.kill(f'gw-{index}')
+        for index in indexes:
+            fleet.start_instance(index)
+        directories = [
+            fleet.control_planes[f'gw-{index}'].directory for index in indexes
+        ]
+        until = fleet.now + RESTART_WATCH_S
+        while fleet.now < until:
+            for directory in directories:
+                assert not directory.is_ready or (
+                    directory.backend_servers(service='desk') == ()
+                )
+            await asyncio.sleep(0.01)
+        assert all(directory.is_ready for directory in directories)
+
+    run_paused(scenario())
