Show announced rate limits in refusals, explain and metrics

Cause: a refusal for lack of a permit did not tell a cold server's rate from an announced one, `teaselrock explain` left out the limits, and no metric showed how much all servers of a service take together.

Change: the detail names the origin of the rate and the age of an announcement; `explain` prints the limit of each server of the attempts and of the one that a refusal names; `teaselrock_announced_rate_limit` is the sum by service, next to the granted permits.

--- a/src/teaselrock/cli/explain.py
+++ b/src/teaselrock/cli/explain.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import json
+import re
 import sys
 from typing import BinaryIO
 from typing import Final
@@ -26,6 +27,8 @@
 STDIN_ARGUMENT: Final = '-'
 # Lines of a gateway are shorter; a longer line is read in pieces.
 MAX_LINE_BYTES: Final = 65536
+# How the details of refusals and failures name a server.
+_SERVER_NAME: Final = re.compile(r'\bserver (\S+)')
 # Limit of the servers of one instance whose latest line is kept.
 MAX_SERVERS: Final = 10_000
 
@@ -35,9 +38,13 @@
 _SERVER_EVENTS: Final = frozenset(
     {Event.SERVER_REGISTERED, Event.SERVER_DRAINS, Event.SERVER_GONE}
 )
+_RATE_LIMIT_EVENTS: Final = frozenset(
+    {Event.SERVER_RATE_LIMITED, Event.SERVER_RATE_LIMIT_ENDED}
+)
 _STORE_EVENTS: Final = frozenset({Event.STORE_LOST, Event.STORE_REGAINED})
 _CONTEXT_EVENTS: Final = (
     _SERVER_EVENTS
+    | _RATE_LIMIT_EVENTS
     | _STORE_EVENTS
     | {
         Event.GATEWAY_STARTED,
@@ -72,18 +79,18 @@
     def __init__(self) -> None:
         self._latest: dict[str, LogLine] = {}
         self._servers: OrderedDict[str, LogLine] = OrderedDict()
+        self._rate_limits: OrderedDict[str, LogLine] = OrderedDict()
 
     def record(self, line: LogLine) -> None:
         """Record a line; a start of the process discards earlier lines."""
         if line.number == Event.GATEWAY_STARTED:
             self._latest.clear()
             self._servers.clear()
+            self._rate_limits.clear()
         if line.number in _SERVER_EVENTS:
-            name = str(line.fields.get('server', ''))
-            self._servers[name] = line
-            self._servers.move_to_end(name)
-            if len(self._servers) > MAX_SERVERS:
-                self._servers.popitem(last=False)
+            _record_server_line(self._servers, line)
+        elif line.number in _RATE_LIMIT_EVENTS:
+            _record_server_line(self._rate_limits, line)
         elif line.number in _STORE_EVENTS:
             self._latest[f'store {line.fields.get("kind", "")}'] = line
         elif line.number in (Event.WATCH_STARTED, Event.WATCH_ENDED):
@@ -91,15 +98,34 @@
         else:
             self._latest[line.event] = line
 
-    def lines_for(self, attempts: Sequence[LoggedAttempt]) -> list[LogLine]:
-        """Latest lines, of the servers only those of the attempts."""
+    def lines_for(
+        self, attempts: Sequence[LoggedAttempt], detail: str
+    ) -> list[LogLine]:
+        """Latest lines, of the servers only those that the request concerns.
+
+        These are the servers of the attempts and the one that `detail` of a
+        refusal names.
+        """
+        names = dict.fromkeys(attempt.server for attempt in attempts)
+        names.update(dict.fromkeys(_SERVER_NAME.findall(detail)))
         lines = list(self._latest.values())
-        for name in dict.fromkeys(attempt.server for attempt in attempts):
-            if name in self._servers:
-                lines.append(self._servers[name])
+        for name in names:
+            for server_lines in (self._servers, self._rate_limits):
+                if name in server_lines:
+                    lines.append(server_lines[name])
         return sorted(lines, key=lambda line: line.time)
 
 
+def _record_server_line(
+    latest: OrderedDict[str, LogLine], line: LogLine
+) -> None:
+    name = str(line.fields.get('server', ''))
+    latest[name] = line
+    latest.move_to_end(name)
+    if len(latest) > MAX_SERVERS:
+        latest.popitem(last=False)
+
+
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of the command."""
     parser.add_argument('request', help='id of the request')
@@ -132,7 +158,10 @@
             and line.fields.get('request') == request_id
         ):
             attempts = decode_attempts(str(line.fields.get('attempts', '')))
-            yield RequestLogEntry(line, attempts, context.lines_for(attempts))
+            detail = str(line.fields.get('detail', ''))
+            yield RequestLogEntry(
+                line, attempts, context.lines_for(attempts, detail)
+            )
 
 
 def run(
--- a/src/teaselrock/coordination/choice/announced_limits.py
+++ b/src/teaselrock/coordination/choice/announced_limits.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import Counter
+from collections import defaultdict
 from collections.abc import Mapping
 from typing import Final
 from typing import NamedTuple
@@ -48,6 +49,14 @@
         """Number of servers with a limit by service."""
         return Counter(limit.server.service for limit in self._limits.values())
 
+    @property
+    def total_rates(self) -> Mapping[str, float]:
+        """Sum of the limits by service, in requests per second."""
+        totals: defaultdict[str, float] = defaultdict(float)
+        for limit in self._limits.values():
+            totals[limit.server.service] += limit.rate
+        return totals
+
     def limit(self, server_id: str) -> AnnouncedLimit | None:
         """The limit of a server, None if it has none."""
         return self._limits.get(server_id)
--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -48,19 +48,28 @@
 
 
 def rate_limit_refusal(
-    *, server_id: str, rate: float, known_for: float, retry_after: float
+    *,
+    server_id: str,
+    rate: float,
+    announced_for: float | None,
+    retry_after: float,
 ) -> Refusal:
     """Refusal of a request since all servers are at their rate limits.
 
     The arguments describe the limit of the best of these servers: `rate` in
-    requests per second from all instances, known for `known_for` seconds.
+    requests per second from all instances, announced by the server since
+    `announced_for` seconds, or that of a cold server if it is None.
     """
+    origin = (
+        'the rate of a cold server'
+        if announced_for is None
+        else f'announced for {announced_for:.1f} s'
+    )
     return Refusal(
         RefusalCode.OVERLOADED,
         Verdict.DID_NOT_RUN,
-        f'server {server_id} takes {rate:g} requests/s from all instances, '
-        f'known for {known_for:.1f} s, and no other server may take the '
-        'request',
+        f'server {server_id} takes {rate:g} requests/s from all instances '
+        f'({origin}), and no other server may take the request',
         retry_after=retry_after,
     )
 
--- a/src/teaselrock/coordination/choice/server_rates.py
+++ b/src/teaselrock/coordination/choice/server_rates.py
@@ -150,7 +150,7 @@
         return refusals.rate_limit_refusal(
             server_id=best.server.server_id,
             rate=best.rate,
-            known_for=now - limit.since if limit is not None else 0.0,
+            announced_for=now - limit.since if limit is not None else None,
             retry_after=(
                 best.permit_denial.retry_after + self._rng.uniform(0, spread)
             ),
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -97,8 +97,9 @@
     """Values of one instance for its metrics.
 
     `view_age` is in seconds; `servers` is the number of servers in service,
-    `rate_limited_servers` that of servers that announce a rate limit. Both
-    and `retry_budgets` are by service. `permits` counts those for servers
+    `rate_limited_servers` that of servers that announce a rate limit, and
+    `announced_rates` the sum of these limits in requests per second. All of
+    them and `retry_budgets` are by service. `permits` counts those for servers
     with limited rates.
     """
 
@@ -109,6 +110,7 @@
     checks: CheckCounts
     retry_budgets: Mapping[str, BudgetCounts]
     rate_limited_servers: Mapping[str, int]
+    announced_rates: Mapping[str, float]
     permits: PermitCounts
 
 
@@ -214,6 +216,7 @@
             self._checks.counts,
             self._runners.budget_counts,
             self._announced_limits.server_counts,
+            self._announced_limits.total_rates,
             self._permits.counts,
         )
 
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -78,6 +78,14 @@
             ),
             stats.rate_limited_servers,
         )
+        yield _with_samples(
+            GaugeMetricFamily(
+                'teaselrock_announced_rate_limit',
+                'Sum of the announced rate limits in requests per second.',
+                labels=('service',),
+            ),
+            stats.announced_rates,
+        )
         yield _with_samples(
             CounterMetricFamily(
                 'teaselrock_rate_permits',
@@ -135,7 +143,7 @@
 
 def _with_samples(
     family: CounterMetricFamily | GaugeMetricFamily,
-    values: Mapping[str, int],
+    values: Mapping[str, float],
 ) -> Metric:
     """Add one sample for each label value."""
     for label_value, value in sorted(values.items()):
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -120,6 +120,52 @@
     assert entries[1]['known'][0]['fields'] == {'version': 8}
 
 
+def test_rate_limits_are_explained(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a limited server that looks like a slow one.
+
+    The first request was refused before any attempt; only its detail names
+    the server. The second one was sent after the limit had ended.
+    """
+    log, stream = _start_log('gw-1')
+    for server in ('i-1', 'i-2'):
+        log.emit(
+            event=Event.SERVER_RATE_LIMITED,
+            server=server,
+            service='desk',
+            rate=3.8,
+            source='check',
+        )
+    _log_request(
+        log,
+        'refused',
+        verdict='did-not-run',
+        code='overloaded',
+        detail='server i-1 takes 3.8 requests/s from all instances '
+        '(announced for 1.2 s), and no other server may take the request',
+    )
+    log.emit(
+        event=Event.SERVER_RATE_LIMIT_ENDED,
+        server='i-1',
+        service='desk',
+        rate=3.8,
+        seconds=9.5,
+    )
+    _log_request(
+        log, 'sent', attempts='i-1/east-a/local/ok/80/120ms,2+0of3x1.5,4ms,5'
+    )
+    path = _save(tmp_path / 'first.log', log, stream)
+    assert cli.main(['explain', 'refused', path]) == 0
+    text = capsys.readouterr().out
+    assert 'server-rate-limited server i-1, service desk, rate 3.8' in text
+    assert 'i-2' not in text
+    assert cli.main(['explain', 'sent', path]) == 0
+    text = capsys.readouterr().out
+    assert 'server-rate-limit-ended server i-1' in text
+    assert 'server-rate-limited' not in text
+
+
 def test_unknown_request_and_unreadable_file(
     logs: list[str], capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/registry/test_server_rate_limits.py
+++ b/tests/registry/test_server_rate_limits.py
@@ -203,6 +203,7 @@
         details = refused[-1].refusal
         assert details is not None
         assert 's0 takes 2 requests/s' in details.detail
+        assert '(announced for ' in details.detail
 
     run_paused(main())
 
