Let servers of the soak announce rate limits

One server after the other announces a limit of 1 to 4 requests/s for 5 to 8 s, and a check counts what it gets in each window of 4 s from all gateways, those that are killed or paused included. Refusals of the stand-in carry the id of their request, as the platform's servers do.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,6 +11,7 @@
 from typing import Final
 from typing import NamedTuple
 
+from world import Arrival
 from world import Run
 
 # Time without a fault after which a gateway must meet guarantees that have a
@@ -18,6 +19,12 @@
 UNDISTURBED_S: Final = 3.0
 # Allowed on top of each bound, for timers of this process and the loopback.
 TIMER_SLACK_S: Final = 0.3
+# A server's announced limit must hold from this long after its first
+# announcement, in each window, up to the factor and the number of requests.
+LIMIT_KNOWN_S: Final = 1.0
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -46,6 +53,15 @@
     is_planned: bool
 
 
+class Limit(NamedTuple):
+    """Rate limit, in requests/s, that a server announced for some time."""
+
+    server_id: str
+    rate: float
+    start: float
+    end: float
+
+
 def find_violations(
     calls: Sequence[Call], runs: Sequence[Run], faults: Sequence[Fault]
 ) -> list[str]:
@@ -58,6 +74,37 @@
     ]
 
 
+def exceeded_limits(
+    arrivals: Iterable[Arrival], limits: Iterable[Limit]
+) -> list[str]:
+    """Servers that got more than their announced limits allow.
+
+    All gateways count, also those that a fault disturbs.
+    """
+    found: list[str] = []
+    for limit in limits:
+        times = sorted(
+            arrival.at
+            for arrival in arrivals
+            if arrival.server_id == limit.server_id
+            and limit.start + LIMIT_KNOWN_S <= arrival.at <= limit.end
+        )
+        most = max(
+            (
+                sum(1 for other in times if at <= other < at + LIMIT_WINDOW_S)
+                for at in times
+            ),
+            default=0,
+        )
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.rate + LIMIT_SLACK
+        if most > allowed:
+            found.append(
+                f'{limit.server_id} got {most} requests in {LIMIT_WINDOW_S} s '
+                f'at a limit of {limit.rate}/s'
+            )
+    return found
+
+
 def unexpected_exits(codes: Mapping[str, int | None]) -> list[str]:
     """Gateways whose process has exited after the last fault.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,10 @@
 ]
 
 from checks import Call  # noqa: E402
+from checks import exceeded_limits  # noqa: E402
 from checks import Fault  # noqa: E402
 from checks import find_violations  # noqa: E402
+from checks import Limit  # noqa: E402
 from checks import UNDISTURBED_S  # noqa: E402
 from checks import unexpected_exits  # noqa: E402
 from checks import unrecovered_gateways  # noqa: E402
@@ -51,6 +53,9 @@
         self._world = World(seed=seed, folder=pathlib.Path(folder))
         self._calls: list[Call] = []
         self._fault_log: list[Fault] = []
+        self._limits: list[Limit] = []
+        # Of its own, so that the faults of a seed stay the same.
+        self._limits_rng = random.Random(f'{seed} limits')
         self._problems: list[str] = []
         self._version = 0
         self._route = ''
@@ -74,9 +79,11 @@
             tasks = [
                 asyncio.create_task(self._run_callers()),
                 asyncio.create_task(self._inject_faults()),
+                asyncio.create_task(self._limit_rates()),
             ]
             await asyncio.sleep(self._seconds)
-            tasks[1].cancel()
+            for task in tasks[1:]:
+                task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await self._check_end()
         finally:
@@ -84,6 +91,7 @@
         self._problems += find_violations(
             self._calls, self._world.runs, self._fault_log
         )
+        self._problems += exceeded_limits(self._world.arrivals, self._limits)
         return self._problems
 
     # Faults
@@ -113,6 +121,26 @@
             # Wait for the end of faults that have begun.
             await asyncio.gather(*running, return_exceptions=True)
 
+    async def _limit_rates(self) -> None:
+        """Let one server after the other announce a rate limit."""
+        while True:
+            await asyncio.sleep(self._limits_rng.uniform(0.2, 1.0))
+            server = self._limits_rng.choice(self._world.servers)
+            server.rate_limit = round(self._limits_rng.uniform(1.0, 4.0), 1)
+            start = time.monotonic()
+            try:
+                await asyncio.sleep(self._limits_rng.uniform(5.0, 8.0))
+            finally:
+                self._limits.append(
+                    Limit(
+                        server.server_id,
+                        server.rate_limit,
+                        start,
+                        time.monotonic(),
+                    )
+                )
+                server.rate_limit = None
+
     def _pick(self) -> Gateway:
         return self._rng.choice(self._world.gateways)
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,12 +1,15 @@
 """Planted violations that the checks of the soak must find."""
 
 from checks import Call
+from checks import exceeded_limits
 from checks import Fault
 from checks import find_violations
+from checks import Limit
 from checks import UNDISTURBED_S
 from checks import unexpected_exits
 from checks import unrecovered_gateways
 import pytest
+from world import Arrival
 from world import Run
 
 LOOKUP_CALL = Call('r1', 'gw-1', False, 10.0, 10.2, 200, True)
@@ -98,6 +101,20 @@
         assert problem in violation
 
 
+@pytest.mark.parametrize(('count', 'is_found'), [(17, False), (18, True)])
+def test_exceeded_limit_is_found(count: int, is_found: bool) -> None:
+    """Guards against a check that misses requests above a limit.
+
+    At 2 requests/s, 1.5 x 4 s x 2/s + 5 are allowed in 4 s.
+    """
+    limit = Limit('s1', 2.0, 10.0, 20.0)
+    before = [Arrival('s1', 10.5)] * 100
+    within = [Arrival('s1', 12.0 + index / 10) for index in range(count)]
+    other = [Arrival('s2', 12.0)] * 100
+    found = exceeded_limits([*before, *within, *other], [limit])
+    assert len(found) == is_found
+
+
 def test_gateway_that_does_not_recover_is_found() -> None:
     """Guards against a check that misses a gateway with outdated routes."""
     found = unrecovered_gateways({'gw-1': 200, 'gw-2': 404, 'gw-3': 0})
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,15 +38,30 @@
     is_after_departure: bool
 
 
+class Arrival(NamedTuple):
+    """A request that reached a server, run or not."""
+
+    server_id: str
+    at: float
+
+
 class SoakServer(PlatformServer):
     """A server that takes some time for a request and records its run."""
 
     def __init__(
-        self, server_id: str, *, zone: str, runs: list[Run], seed: int
+        self,
+        server_id: str,
+        *,
+        zone: str,
+        runs: list[Run],
+        arrivals: list[Arrival],
+        seed: int,
     ) -> None:
         super().__init__(server_id)
         self.zone = zone
         self.runs = runs
+        self.arrivals = arrivals
+        self.rate_limit: float | None = None
         self.rng = random.Random(f'{seed} {server_id}')
         self.running = 0
         self.departure_deadline: float | None = None
@@ -71,11 +86,20 @@
     async def _handle(self, request: CallerRequest) -> Response | None:
         if request.target == '/health':
             self.load = f'{self.running},0,{SLOTS_PER_SERVER},100'
-            return await super()._handle(request)
+            response = await super()._handle(request)
+            if response is None:
+                return None
+            status, fields, body = response
+            return status, fields | self._limit_fields(), body
         request_id = request.field(headers.REQUEST_ID.lower()) or ''
-        if self.running >= SLOTS_PER_SERVER:
-            return 503, {headers.NOT_EXECUTED: '1'}, b''
         now = time.monotonic()
+        self.arrivals.append(Arrival(self.server_id, now))
+        if self.running >= SLOTS_PER_SERVER:
+            fields = {
+                headers.NOT_EXECUTED: '1',
+                headers.REQUEST_ID: request_id,
+            }
+            return 503, fields, b''
         is_after_departure = (
             self.departure_deadline is not None
             and now > self.departure_deadline
@@ -91,7 +115,13 @@
         if self.rng.random() < self.lost_response_share:
             return None
         body = f'{request_id} {request.target}'.encode()
-        return 200, self.response_fields(request), body
+        fields = self.response_fields(request) | self._limit_fields()
+        return 200, fields, body
+
+    def _limit_fields(self) -> dict[str, str]:
+        if self.rate_limit is None:
+            return {}
+        return {headers.RATE_LIMIT: f'{self.rate_limit:.1f}'}
 
 
 class Gateway:
@@ -197,6 +227,7 @@
 
     def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.store = PlatformStore()
         self.store.page_items = 500
         zones = list(ZONES)
@@ -205,6 +236,7 @@
                 f's{index}',
                 zone=zones[index % len(zones)],
                 runs=self.runs,
+                arrivals=self.arrivals,
                 seed=seed,
             )
             for index in range(6)
