Test requests whose server is silent for a while

Reported by operators of similar systems: a machine that was only silent had its running work started again elsewhere, or given up. It does not happen here: when the registration of a server lapses, only its idle connections are closed.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -6,6 +6,7 @@
 from gateway_world import routes_spec
 from gateway_world import Run
 from gateway_world import World
+import pytest
 
 from teaselrock.platform import headers
 
@@ -117,6 +118,33 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_request_outlives_the_registration_of_its_server(
+    run: Run, method: str
+) -> None:
+    """Guards against work that is given up or repeated for silence.
+
+    The registration of a server that was silent lapses while it works.
+    """
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            server.delay_s = 0.8
+        target = '/b/1' if method == 'POST' else '/x/1'
+        calling = asyncio.create_task(
+            world.send_request(target, method=method, deadline_ms=3000)
+        )
+        while not world.received_count:
+            await asyncio.sleep(0.01)
+        for server in world.servers:
+            world.store.delete('servers', server.server_id)
+        status, _, body = await calling
+        assert (status, body) == (200, b'done')
+        assert world.received_count == 1
+
+    run(scenario)
+
+
 def test_late_response_of_a_build_is_504(run: Run) -> None:
     """Guards against a build that is reported as not run although it may have.
 
