--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -18,6 +18,7 @@
 from expression import Result
 
 from teaselrock.coordination.choice import refusals
+from teaselrock.coordination.choice.check_groups import CheckGroups
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.latency_estimates import UNHEALTHY_FACTOR
 from teaselrock.coordination.choice.load_checks import CheckResult
@@ -37,11 +38,6 @@
 from teaselrock.state import Request
 from teaselrock.state.routes import Route
 
-# Servers that are checked at a time, in the own region and in others.
-REGION_CHECKS: Final = 5
-OTHER_REGION_CHECKS: Final = 3
-# Up to this many checks of the own region go to the own zone.
-OWN_ZONE_CHECKS: Final = 3
 # Traffic between zones is billed, so a server in another zone is chosen only
 # if it is faster by this factor.
 OTHER_ZONE_FACTOR: Final = 1.1
@@ -62,16 +58,6 @@
     score: float
 
 
-class _Group(NamedTuple):
-    """Servers that are checked together.
-
-    A reserve is checked only if all servers before it deny permits.
-    """
-
-    servers: Sequence[BackendServer]
-    is_reserve: bool = False
-
-
 class _Chosen(NamedTuple):
     """The chosen server, with a permit if its rate is limited."""
 
@@ -178,7 +164,7 @@
         self._server_rates = server_rates
         self._history = history
         self._latency_estimates = latency_estimates
-        self._rng = rng
+        self._check_groups = CheckGroups(own_zone=own_zone, rng=rng)
         self._send_times: defaultdict[str, deque[float]] = defaultdict(
             lambda: deque(maxlen=MAX_SEND_TIMES)
         )
@@ -262,7 +248,7 @@
         servers = [
             server for server in servers if server.server_id not in denials
         ]
-        for group in self._groups(servers):
+        for group in self._check_groups.choose(servers):
             if group.is_reserve and any(
                 candidate.check.server.server_id not in denials
                 for candidate in ranked
@@ -384,42 +370,6 @@
                 expected_latency=expected_latency,
             )
 
-    def _groups(self, servers: Sequence[BackendServer]) -> list[_Group]:
-        """Groups of servers to check, one after the other."""
-        in_own_zone: list[BackendServer] = []
-        in_region: list[BackendServer] = []
-        in_other_regions: list[BackendServer] = []
-        for server in servers:
-            if server.zone == self._own_zone:
-                in_own_zone.append(server)
-            elif server.zone.region == self._own_zone.region:
-                in_region.append(server)
-            else:
-                in_other_regions.append(server)
-        first = self._sample(in_own_zone, OWN_ZONE_CHECKS)
-        first += self._sample(in_region, REGION_CHECKS - len(first))
-        rest = [
-            server for server in in_own_zone + in_region if server not in first
-        ]
-        others = self._sample(in_other_regions, len(in_other_regions))
-        second = self._sample(rest, REGION_CHECKS)
-        rest = [server for server in rest if server not in second]
-        groups = [
-            _Group(first),
-            _Group(second),
-            _Group(others[:OTHER_REGION_CHECKS]),
-            _Group(self._sample(rest, REGION_CHECKS), is_reserve=True),
-            _Group(
-                others[OTHER_REGION_CHECKS:][:REGION_CHECKS], is_reserve=True
-            ),
-        ]
-        return [group for group in groups if group.servers]
-
-    def _sample(
-        self, servers: Sequence[BackendServer], count: int
-    ) -> list[BackendServer]:
-        return self._rng.sample(servers, max(0, min(count, len(servers))))
-
     def _rank_candidates(
         self, request: Request, route: Route, checks: Sequence[CheckResult]
     ) -> list[_Candidate]:
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -9,10 +9,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from contextlib import closing
 import re
-from typing import Any
 from typing import Final
 
 from expression import Error
@@ -37,9 +35,11 @@
 from teaselrock.transport.response_parser import MAX_BODY_BYTES
 from teaselrock.transport.response_parser import ResponseError
 from teaselrock.transport.response_parser import ResponseParser
+from teaselrock.transport.response_reader import open_stream
+from teaselrock.transport.response_reader import READ_BYTES
+from teaselrock.transport.response_reader import ResponseReader
 from teaselrock.transport.tcp_keep_alive import enable_tcp_keep_alive
 
-READ_BYTES: Final = 65536
 CONNECT_TIMEOUT_S: Final = 1.0
 # A connection is not used in the last part of the server's idle timeout,
 # since the server may close it while a request is on the way.
@@ -51,53 +51,13 @@
 _FORBIDDEN_IN_HEADER: Final = re.compile(r'[\r\n\0]')
 
 
-class _ResponseReader(asyncio.StreamReader):
-    """Stream that keeps no bytes that arrive outside an exchange.
-
-    They may be a late response, which must not become that of the next
-    request, or a stream without an end.
-    """
-
-    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(limit=READ_BYTES, loop=loop)
-        self._unread_bytes = 0
-        self._on_unexpected: Callable[[], None] | None = None
-
-    @property
-    def unread_bytes(self) -> int:
-        """Bytes that have arrived and have not been read."""
-        return self._unread_bytes
-
-    def expect_data(self) -> None:
-        """Keep arriving bytes until `reject_data`."""
-        self._on_unexpected = None
-
-    def reject_data(self, on_unexpected: Callable[[], None]) -> None:
-        """Drop arriving bytes and call `on_unexpected`."""
-        self._on_unexpected = on_unexpected
-
-    def feed_data(self, data: Any) -> None:
-        """Called by the transport with bytes that arrived."""
-        if self._on_unexpected is not None:
-            self._on_unexpected()
-            return
-        self._unread_bytes += len(data)
-        super().feed_data(data)
-
-    async def read(self, n: int = -1) -> bytes:
-        """Read up to `n` bytes; b'' at the end of the stream."""
-        data = await super().read(n)
-        self._unread_bytes -= len(data)
-        return data
-
-
 class HttpConnection:
     """Persistent connection that carries one exchange at a time."""
 
     def __init__(
         self,
         *,
-        reader: _ResponseReader,
+        reader: ResponseReader,
         writer: asyncio.StreamWriter,
         server: BackendServer,
         dialect: BackendDialect,
@@ -401,7 +361,7 @@
         connect_deadline = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
         try:
             async with asyncio.timeout_at(connect_deadline):
-                reader, writer = await _open_stream(host, int(port))
+                reader, writer = await open_stream(host, int(port))
         except (OSError, TimeoutError) as error:
             return Error(_connect_failure(server, str(error) or 'timed out'))
         enable_tcp_keep_alive(writer)
@@ -416,17 +376,6 @@
         )
 
 
-async def _open_stream(
-    host: str, port: int
-) -> tuple[_ResponseReader, asyncio.StreamWriter]:
-    """Connect like `asyncio.open_connection`, with another reader."""
-    loop = asyncio.get_running_loop()
-    reader = _ResponseReader(loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, host, port)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
-
-
 def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
     return ExchangeFailure(
         FailureKind.CONNECT,
