Keep an instance ready when its first peers appear

Cause: the wait for a comparison depended on the present number of peers instead of on what was known when the instance started.

Change: an instance waits for a ready peer for 1 s after its start, and the state is final once it holds. The loop is stored at the start, since the operators' endpoint reads readiness in other threads. The deployment of tests/processes now waits for readiness before it sends calls, as the platform does; before, it took a configuration in force for readiness.

Tests: 108 of processes, daemon, membership and dissemination pass.

--- a/src/teaselrock/coordination/control.py
+++ b/src/teaselrock/coordination/control.py
@@ -114,6 +114,7 @@
     def start(self) -> None:
         """Start all tasks; message handlers must be registered before."""
         self._hub.start()
+        self._facts.start()
         self._directory.start()
         self._membership.start()
         self._configuration.start()
--- a/src/teaselrock/coordination/directory.py
+++ b/src/teaselrock/coordination/directory.py
@@ -69,17 +69,12 @@
         return (
             not self._is_stopping
             and self._configuration.has_configuration
-            and self._has_facts
+            and self._facts.is_synchronized
             and not self._membership.is_isolated
             and own.instance_id not in document['out_instances']
             and str(own.zone) not in document['out_zones']
         )
 
-    @property
-    def _has_facts(self) -> bool:
-        """Whether facts were compared with a peer, or there is none."""
-        return self._facts.is_synchronized or len(self._membership.live) <= 1
-
     def backend_servers(self, *, service: str) -> Sequence[BackendServer]:
         """Servers of a service that are neither out of service nor leaving."""
         key = (
--- a/src/teaselrock/coordination/dissemination/facts.py
+++ b/src/teaselrock/coordination/dissemination/facts.py
@@ -35,9 +35,9 @@
 # after this time without a change, and then at most once in each interval.
 SETTLE_TIME_S: Final = 0.5
 COMPARE_INTERVAL_S: Final = 1.0
-# Peers that are starting know no facts either. Until this long after the first
-# status of a peer, only a comparison with a ready peer counts.
-STARTING_PEERS_WAIT_S: Final = 1.0
+# Peers that are starting know no facts either. An instance that hears of no
+# ready peer for this long after its start needs no comparison with one.
+READY_PEER_WAIT_S: Final = 1.0
 # Facts about unlisted subjects are kept this long, since the platform list
 # lags.
 UNLISTED_RETENTION_S: Final = 600.0
@@ -75,8 +75,9 @@
         self._epoch = 0
         self._changed_at = float('-inf')
         self._compared_at = float('-inf')
-        self._is_synchronized = False
-        self._first_status_at: float | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._started_at = 0.0
+        self._has_compared = False
         self._ready_peers: set[str] = set()
         self._listeners: list[Callable[[Fact], None]] = []
         hub.set_priorities(
@@ -104,9 +105,22 @@
     def is_synchronized(self) -> bool:
         """Whether this instance has the facts that a ready peer had.
 
-        A started instance knows none, and would use servers that leave.
+        A started instance knows none, and would use servers that leave. If
+        no peer is ready, there are no facts to get.
         """
-        return self._is_synchronized
+        if self._has_compared:
+            return True
+        # The operators' endpoint reads this in other threads, which have no
+        # running loop.
+        if self._loop is None:
+            return False
+        age = self._loop.time() - self._started_at
+        return not self._ready_peers and age >= READY_PEER_WAIT_S
+
+    def start(self) -> None:
+        """Begin to wait for a comparison with a ready peer."""
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
 
     def get(self, *, kind: str, subject: str) -> Fact | None:
         """The fact about a subject, None if there is none."""
@@ -175,15 +189,16 @@
 
         Before the first comparison it is sent at once.
         """
-        now = asyncio.get_running_loop().time()
-        if self._first_status_at is None:
-            self._first_status_at = now
+        if self.is_synchronized:
+            # Peers that become ready later do not change this.
+            self._has_compared = True
         if status.is_ready:
             self._ready_peers.add(sender)
         if status.facts_digest == self.digest:
             self._on_compared(sender)
             return
-        if not self._is_synchronized or (
+        now = asyncio.get_running_loop().time()
+        if not self._has_compared or (
             now - self._changed_at > SETTLE_TIME_S
             and now - self._compared_at > COMPARE_INTERVAL_S
         ):
@@ -253,9 +268,5 @@
 
     def _on_compared(self, peer: str) -> None:
         """Record that this instance has all facts of a peer."""
-        now = asyncio.get_running_loop().time()
-        if peer in self._ready_peers or (
-            self._first_status_at is not None
-            and now - self._first_status_at >= STARTING_PEERS_WAIT_S
-        ):
-            self._is_synchronized = True
+        if peer in self._ready_peers:
+            self._has_compared = True
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -98,6 +98,7 @@
         path.write_text(json.dumps(document), 'utf-8')
         assert await self.run_command('apply', str(path)) == 0
         await self.wait_until(lambda: self.has_version(1))
+        await self.wait_until(self._are_ready)
 
     async def run_command(self, *arguments: str) -> int:
         """Run a command against the store; returns its exit code."""
@@ -121,6 +122,13 @@
                 return False
         return True
 
+    async def _are_ready(self) -> bool:
+        """Whether callers may be sent to both gateways."""
+        for name in self.gateways:
+            if not (await self.status(name))['ready']:
+                return False
+        return True
+
     async def status(self, name: str) -> Any:
         """Document that a gateway serves at `/status`."""
         address = self.gateways[name]['operators_listen']
