Name the rate limits in refusals for overload

Servers at their limits are left out, the few others are overloaded, and the refusal told only their expected time, with the fixed Retry-After of an overload.

Change: where servers were left out for lack of a permit, the refusal names the limit, its origin and age, and why the others may not get the request; its Retry-After spreads the returns over what the limits allow.

The test fails before.

--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -284,6 +284,12 @@
                 ),
             )
             if refusal is not None:
+                if denials:
+                    refusal = self._server_rates.refusal(
+                        tuple(denials.values()),
+                        route=route,
+                        other_refusal=refusal,
+                    )
                 return Error(refusal)
             chosen = await self._try_candidate(
                 candidate, route, reason, denials
@@ -293,7 +299,9 @@
         if denials:
             return Error(
                 self._server_rates.refusal(
-                    tuple(denials.values()), route=route
+                    tuple(denials.values()),
+                    route=route,
+                    other_refusal=None,
                 )
             )
         return Error(refusals.no_server_refusal(bool(servers)))
--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -52,6 +52,7 @@
     server_id: str,
     rate: float,
     announced_for: float | None,
+    other_reason: str,
     retry_after: float,
 ) -> Refusal:
     """Refusal of a request since all servers are at their rate limits.
@@ -59,6 +60,7 @@
     The arguments describe the limit of the best of these servers: `rate` in
     requests per second from all instances, announced by the server since
     `announced_for` seconds, or that of a cold server if it is None.
+    `other_reason` tells why servers without a limit may not get the request.
     """
     origin = (
         'the rate of a cold server'
@@ -69,7 +71,7 @@
         RefusalCode.OVERLOADED,
         Verdict.DID_NOT_RUN,
         f'server {server_id} takes {rate:g} requests/s from all instances '
-        f'({origin}), and no other server may take the request',
+        f'({origin}); others: {other_reason}',
         retry_after=retry_after,
     )
 
--- a/src/teaselrock/coordination/choice/server_rates.py
+++ b/src/teaselrock/coordination/choice/server_rates.py
@@ -123,9 +123,16 @@
         return Ok(acquired.ok)
 
     def refusal(
-        self, denials: Sequence[RateDenial], *, route: Route
+        self,
+        denials: Sequence[RateDenial],
+        *,
+        route: Route,
+        other_refusal: Refusal | None,
     ) -> Refusal:
-        """Refusal of a request that got no permit of any server.
+        """Refusal of a request that got no permit of any limited server.
+
+        `other_refusal` tells why the servers without a limit may not get it,
+        None if there are none.
 
         Refused callers return spread over the time in which their requests
         can get permits, so that they are not refused together again.
@@ -134,7 +141,7 @@
             denials, key=lambda denial: denial.permit_denial.retry_after
         )
         if not any(denial.permit_denial.has_lender for denial in denials):
-            return refusals.no_server_refusal(True)
+            return other_refusal or refusals.no_server_refusal(True)
         now = asyncio.get_running_loop().time()
         refused_at = self._refused_at[best.server.service]
         while refused_at and refused_at[0] <= now - BACKLOG_WINDOW_S:
@@ -151,6 +158,11 @@
             server_id=best.server.server_id,
             rate=best.rate,
             announced_for=now - limit.since if limit is not None else None,
+            other_reason=(
+                other_refusal.detail
+                if other_refusal is not None
+                else 'no other server may take the request'
+            ),
             retry_after=(
                 best.permit_denial.retry_after + self._rng.uniform(0, spread)
             ),
--- a/tests/choice/test_announced_limits.py
+++ b/tests/choice/test_announced_limits.py
@@ -7,6 +7,7 @@
 from choice_world import World
 
 from teaselrock.coordination.choice import AnnouncedLimits
+from teaselrock.coordination.choice.refusals import RETRY_AFTER_S
 from teaselrock.coordination.events import Event
 from teaselrock.standins.clock import run_paused
 
@@ -65,3 +66,27 @@
         assert world.events == [Event.SERVER_RATE_LIMITED]
 
     run_paused(main())
+
+
+def test_refusal_names_the_limit_beside_an_overloaded_server() -> None:
+    """Guards against logs and a Retry-After that ignore a limited server.
+
+    The other server of the service cannot answer before the deadline.
+    """
+
+    async def main() -> None:
+        slow = backend_server('slow')
+        world = World({SERVER: LIMITED, slow: load_report(6, queued=500)})
+        acquired = await world.acquire()
+        while acquired.is_ok():
+            assert acquired.ok.server == SERVER
+            acquired = await world.acquire()
+        refusal = acquired.error
+        assert f'server {SERVER.server_id} takes 3.5 requests/s' in (
+            refusal.detail
+        )
+        assert 'others: expected ' in refusal.detail
+        assert refusal.retry_after is not None
+        assert refusal.retry_after != RETRY_AFTER_S
+
+    run_paused(main())
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -143,7 +143,7 @@
         verdict='did-not-run',
         code='overloaded',
         detail='server i-1 takes 3.8 requests/s from all instances '
-        '(announced for 1.2 s), and no other server may take the request',
+        '(announced for 1.2 s); others: no other server may take the request',
     )
     log.emit(
         event=Event.SERVER_RATE_LIMIT_ENDED,
