Log the announced rate limit of each server

Nine servers announce their limits in the same second, and the log writes one line of this event in a second.

Change: both events may have 50 lines in a second, as other events about single servers. The test fails before for both.

--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -37,6 +37,8 @@
     Event.SERVER_REGISTERED: 50,
     Event.SERVER_DRAINS: 50,
     Event.SERVER_GONE: 50,
+    Event.SERVER_RATE_LIMITED: 50,
+    Event.SERVER_RATE_LIMIT_ENDED: 50,
     Event.STORE_LOST: 5,
     Event.STORE_REGAINED: 5,
 }
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -8,6 +8,8 @@
 import re
 from typing import Any
 
+import pytest
+
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.in_memory import FixedDirectory
 from teaselrock.daemon import logs
@@ -22,7 +24,9 @@
 
 
 def _logged_lines(
-    times: list[float], level: str = 'info'
+    times: list[float],
+    level: str = 'info',
+    event: Event = Event.PEER_FRAME_INVALID,
 ) -> list[dict[str, Any]]:
     """Log lines of one event that is emitted at each of the times."""
     stream = io.StringIO()
@@ -37,7 +41,7 @@
     )
     log.start()
     for number in range(len(times)):
-        log.emit(event=Event.PEER_FRAME_INVALID, detail='d' * 999, msg=number)
+        log.emit(event=event, detail='d' * 999, msg=number)
     log.stop()
     return [json.loads(line) for line in stream.getvalue().splitlines()]
 
@@ -57,6 +61,23 @@
     assert len(lines[0]['detail']) == logs.MAX_FIELD_CHARS
 
 
+@pytest.mark.parametrize(
+    'event',
+    [
+        Event.SERVER_REGISTERED,
+        Event.SERVER_RATE_LIMITED,
+        Event.SERVER_RATE_LIMIT_ENDED,
+    ],
+)
+def test_events_of_each_server_are_logged(event: Event) -> None:
+    """Guards against logs that show one of the servers that change together.
+
+    `explain` then finds no limit for the other servers.
+    """
+    lines = _logged_lines([index / 20 for index in range(20)], event=event)
+    assert [line['msg_'] for line in lines] == list(range(20))
+
+
 def test_log_level() -> None:
     """Guards against log lines below the configured level.
 
