Wait for the facts of live peers only

Found when the change was read again: if the only ready peer of several starting instances ends before it answers, they wait for its facts for ever, since each has heard of it and none is ready.

Change: only peers that are live, and ready by their last status, are waited for.

Test: three instances restart, hear of the ready one, and it is killed.

--- a/src/teaselrock/coordination/dissemination/facts.py
+++ b/src/teaselrock/coordination/dissemination/facts.py
@@ -77,7 +77,7 @@
         self._compared_at = float('-inf')
         self._loop: asyncio.AbstractEventLoop | None = None
         self._started_at = 0.0
-        self._has_compared = False
+        self._is_synchronized = False
         self._ready_peers: set[str] = set()
         self._listeners: list[Callable[[Fact], None]] = []
         hub.set_priorities(
@@ -108,14 +108,16 @@
         A started instance knows none, and would use servers that leave. If
         no peer is ready, there are no facts to get.
         """
-        if self._has_compared:
+        if self._is_synchronized:
             return True
         # The operators' endpoint reads this in other threads, which have no
         # running loop.
         if self._loop is None:
             return False
         age = self._loop.time() - self._started_at
-        return not self._ready_peers and age >= READY_PEER_WAIT_S
+        return age >= READY_PEER_WAIT_S and self._ready_peers.isdisjoint(
+            peer.instance_id for peer in self._view.live
+        )
 
     def start(self) -> None:
         """Begin to wait for a comparison with a ready peer."""
@@ -189,16 +191,17 @@
 
         Before the first comparison it is sent at once.
         """
-        if self.is_synchronized:
-            # Peers that become ready later do not change this.
-            self._has_compared = True
+        # Peers that become ready later do not change this.
+        self._is_synchronized = self.is_synchronized
         if status.is_ready:
             self._ready_peers.add(sender)
+        else:
+            self._ready_peers.discard(sender)
         if status.facts_digest == self.digest:
             self._on_compared(sender)
             return
         now = asyncio.get_running_loop().time()
-        if not self._has_compared or (
+        if not self._is_synchronized or (
             now - self._changed_at > SETTLE_TIME_S
             and now - self._compared_at > COMPARE_INTERVAL_S
         ):
@@ -269,4 +272,4 @@
     def _on_compared(self, peer: str) -> None:
         """Record that this instance has all facts of a peer."""
         if peer in self._ready_peers:
-            self._has_compared = True
+            self._is_synchronized = True
--- a/tests/dissemination/test_dissemination.py
+++ b/tests/dissemination/test_dissemination.py
@@ -9,6 +9,7 @@
 from teaselrock.bench.control_fleet import example_document
 from teaselrock.coordination.dissemination import SERVER
 from teaselrock.coordination.dissemination.in_force import ConfigurationInForce
+from teaselrock.coordination.membership import MemberStatus
 from teaselrock.standins.clock import run_paused
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
@@ -439,3 +440,34 @@
         assert all(directory.is_ready for directory in directories)
 
     run_paused(scenario())
+
+
+def test_instances_start_after_their_only_ready_peer_ended() -> None:
+    """Guards against instances that wait for the facts of a peer for ever.
+
+    All others have heard of the ready peer, but none got an answer.
+    """
+
+    async def scenario() -> None:
+        fleet = ControlFleet(seed=11)
+        await fleet.start_all(4)
+        names = [f'gw-{index}' for index in range(1, 4)]
+        for name in names:
+            await fleet.kill(name)
+        for index in range(1, 4):
+            fleet.start_instance(index)
+        for name in names:
+            facts = fleet.control_planes[name].facts
+            facts.on_status(
+                sender='gw-0',
+                status=MemberStatus(is_ready=True, facts_digest=1),
+            )
+        await fleet.kill('gw-0')
+        await fleet.wait_until(
+            lambda: all(
+                fleet.control_planes[name].directory.is_ready for name in names
+            ),
+            limit_s=RESTART_WATCH_S,
+        )
+
+    run_paused(scenario())
