--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -272,24 +272,10 @@
         for candidate in ranked:
             if candidate.check.server.server_id in denials:
                 continue
-            now = asyncio.get_running_loop().time()
-            refusal = refusals.overload_refusal(
-                route=route,
-                expected_latency=candidate.expected_latency,
-                remaining=request.deadline - now,
-                has_more_urgent_routes=(
-                    self._view.index.has_more_urgent_routes(
-                        route, service=request.service
-                    )
-                ),
+            refusal = self._overload_refusal(
+                request, route, candidate, denials
             )
             if refusal is not None:
-                if denials:
-                    refusal = self._server_rates.refusal(
-                        tuple(denials.values()),
-                        route=route,
-                        other_refusal=refusal,
-                    )
                 return Error(refusal)
             chosen = await self._try_candidate(
                 candidate, route, reason, denials
@@ -306,6 +292,32 @@
             )
         return Error(refusals.no_server_refusal(bool(servers)))
 
+    def _overload_refusal(
+        self,
+        request: Request,
+        route: Route,
+        candidate: _Candidate,
+        denials: dict[str, RateDenial],
+    ) -> Refusal | None:
+        """Refusal if the best candidate would take too long, or None.
+
+        It names a rate limit if servers were left out for lack of a permit.
+        """
+        now = asyncio.get_running_loop().time()
+        refusal = refusals.overload_refusal(
+            route=route,
+            expected_latency=candidate.expected_latency,
+            remaining=request.deadline - now,
+            has_more_urgent_routes=self._view.index.has_more_urgent_routes(
+                route, service=request.service
+            ),
+        )
+        if refusal is None or not denials:
+            return refusal
+        return self._server_rates.refusal(
+            tuple(denials.values()), route=route, other_refusal=refusal
+        )
+
     def _known_denials(
         self, servers: Sequence[BackendServer]
     ) -> dict[str, RateDenial]:
