--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -94,7 +94,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received, served or just to come."""
+        """Whether no request is being received, served or expected soon."""
         return (
             not self._pending
             and not self._parser.is_in_request
