--- a/src/teaselrock/transport/response_memory.py
+++ b/src/teaselrock/transport/response_memory.py
@@ -101,7 +101,7 @@
             largest.drop()
 
     def release(self, response: HeldResponse) -> None:
-        """Stop to account for a response."""
+        """Stop accounting for a response."""
         responses = self._responses.get(response.server_id)
         if responses is None or response not in responses:
             return
