Show requests with more attempts than their route allows

Cause: the log has the attempts of a request but not the limit of its route, and it is a sample, so it cannot tell whether a route that changed or a cancelled hedge explains requests on more servers than allowed.

Change: request-ended has max_attempts, teaselrock_excess_attempts_total counts all such requests, and explain names them.

--- a/src/teaselrock/cli/explain.py
+++ b/src/teaselrock/cli/explain.py
@@ -221,6 +221,12 @@
             f'  took {fields["ms"]} ms, {fields.get("left_ms")} ms were left '
             'of the deadline'
         )
+    allowed = fields.get('max_attempts')
+    if isinstance(allowed, int) and 0 < allowed < len(entry.attempts):
+        yield (
+            f'  {len(entry.attempts)} attempts, although the route allows '
+            f'{allowed}'
+        )
     for number, attempt in enumerate(entry.attempts, start=1):
         yield (
             f'  attempt {number}: server {attempt.server} in {attempt.zone} '
--- a/src/teaselrock/coordination/logged_report.py
+++ b/src/teaselrock/coordination/logged_report.py
@@ -28,6 +28,10 @@
         """Count an attempt; `end` is `ok` or the kind of failure."""
         ...
 
+    def on_excess_attempts(self, *, service: str) -> None:
+        """Count a request with more attempts than its route allows."""
+        ...
+
 
 class _LoggedRow:
     """The row of one request in progress."""
@@ -65,16 +69,21 @@
     ) -> None:
         """Emit the row as an event."""
         now = asyncio.get_running_loop().time()
+        route = self._request.route
+        max_attempts = route.max_attempts if route is not None else 0
+        if route is not None and len(self._attempts) > max_attempts:
+            self._observer.on_excess_attempts(service=self._request.service)
         self._events.emit(
             event=Event.REQUEST_ENDED,
             request=self._request.request_id,
-            route=self._request.route.name if self._request.route else '',
+            route=route.name if route is not None else '',
             service=self._request.service,
             verdict=verdict.value,
             code=refusal.code.value if refusal is not None else '',
             detail=refusal.detail if refusal is not None else '',
             ms=round((now - self._started) * 1000, 1),
             left_ms=round((self._request.deadline - now) * 1000),
+            max_attempts=max_attempts,
             attempts=' '.join(self._attempts),
         )
 
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -89,6 +89,12 @@
             ('service', 'reason', 'end'),
             registry=self._registry,
         )
+        self._excess_attempts = Counter(
+            'teaselrock_excess_attempts',
+            'Requests with more attempts than their route allows.',
+            ('service',),
+            registry=self._registry,
+        )
         self._events = Counter(
             'teaselrock_events',
             'Events, those left out of the log included.',
@@ -168,6 +174,10 @@
         """Count an ended attempt."""
         self._attempts.labels(service or NO_LABEL, reason, end).inc()
 
+    def on_excess_attempts(self, *, service: str) -> None:
+        """Count a request with more attempts than its route allows."""
+        self._excess_attempts.labels(service or NO_LABEL).inc()
+
     def on_event(self, event: Event) -> None:
         """Count an event."""
         self._events.labels(event.name.lower().replace('_', '-')).inc()
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -166,6 +166,29 @@
     assert 'server-rate-limited' not in text
 
 
+def test_excess_attempts_are_explained(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a request over its route's limit that looks regular."""
+    log, stream = _start_log('gw-1')
+    _log_request(
+        log,
+        REQUEST_ID,
+        max_attempts=2,
+        attempts=' '.join(
+            f'{name}/east-a/{reason}/{end}/10/'
+            for name, reason, end in (
+                ('i-1', 'local', 'server-error'),
+                ('i-2', 'hedge', 'cancelled'),
+                ('i-3', 'retry', 'ok'),
+            )
+        ),
+    )
+    path = _save(tmp_path / 'gw.log', log, stream)
+    assert cli.main(['explain', REQUEST_ID, path]) == 0
+    assert '3 attempts, although the route allows 2' in capsys.readouterr().out
+
+
 def test_unknown_request_and_unreadable_file(
     logs: list[str], capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/registry/fleet_world.py
+++ b/tests/registry/fleet_world.py
@@ -219,6 +219,9 @@
     def on_attempt(self, *, service: str, reason: str, end: str) -> None:
         """Count no attempts."""
 
+    def on_excess_attempts(self, *, service: str) -> None:
+        raise AssertionError(f'too many attempts at {service}')
+
     def add_server(self, server_id: str, region: str = 'east') -> FleetServer:
         added = FleetServer(server_id, region)
         self.servers[server_id] = added
