Count every server that a request is sent to

Cause: attempts counted the servers of ended attempts only. A first attempt that ended with a 500 cancelled its hedge, which was then forgotten, so the retry went to a further server, and its hedge to one more: up to 2N - 1 servers for N allowed. Class: work that was cancelled was accounted for as if it had never been done.

Change: RequestServers adds a server right before its attempt, whatever its reason, and allows no more than the route does; first attempts, retries and hedges all pass it. Hedges no longer return to a server that the request was sent to before.

--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -24,6 +24,7 @@
 from teaselrock.coordination.ports import ReportRow
 from teaselrock.coordination.ports import Slot
 from teaselrock.coordination.ports import SlotSource
+from teaselrock.coordination.request_servers import RequestServers
 from teaselrock.state import AttemptOutcome
 from teaselrock.state import AttemptReason
 from teaselrock.state import BackendResponse
@@ -93,6 +94,7 @@
     claim: Claim | None
     row: ReportRow
     combined: CombinedVerdict
+    servers: RequestServers
 
 
 class AttemptRunner:
@@ -128,32 +130,29 @@
         The refusal's verdict covers all attempts, as `combined` does: it is
         `DID_NOT_RUN` only if no attempt may have run.
         """
-        context = _RequestContext(request, permission, claim, row, combined)
-        tried_server_ids: set[str] = set()
+        max_attempts = _max_attempts(request)
+        servers = RequestServers(limit=max_attempts)
+        context = _RequestContext(
+            request, permission, claim, row, combined, servers
+        )
         response: BackendResponse | None = None
         failure: ExchangeFailure | None = None
-        max_attempts = _max_attempts(request)
         for number in range(1, max_attempts + 1):
             reason = AttemptReason.RETRY if number > 1 else None
             if number > 1 and (
-                len(tried_server_ids) >= max_attempts
-                or not self._may_retry(context)
+                not servers.has_room or not self._may_retry(context)
             ):
                 break
-            acquired = await self._acquire(
-                context, frozenset(tried_server_ids), reason
-            )
+            acquired = await self._acquire(context, servers.ids, reason)
             if acquired.is_error():
                 if failure is None and response is None:
                     return Error(acquired.error)
                 break
             if number == 1:
                 self._budget.on_first_attempt()
-            may_hedge = len(tried_server_ids) + 1 < max_attempts
             for attempt in await self._attempt_with_hedge(
-                context, acquired.ok, may_hedge
+                context, acquired.ok
             ):
-                tried_server_ids.add(attempt.slot.server.server_id)
                 if attempt.result.is_ok():
                     response = attempt.result.ok
                 else:
@@ -198,7 +197,7 @@
         )
 
     async def _attempt_with_hedge(
-        self, context: _RequestContext, slot: Slot, may_hedge: bool
+        self, context: _RequestContext, slot: Slot
     ) -> list[_EndedAttempt]:
         """Run an attempt, and a hedge if it is slow.
 
@@ -210,7 +209,7 @@
             context.request.is_idempotent
             and context.request.caller_attempt == 1
         )
-        if is_hedgeable and may_hedge:
+        if is_hedgeable:
             delay = self._hedge_policy.delay(service=context.request.service)
         if delay is None:
             return [await self._run_attempt(context, slot)]
@@ -220,10 +219,12 @@
         ended: list[_EndedAttempt] = []
         try:
             done, _ = await asyncio.wait(tasks, timeout=delay)
-            if not done and self._budget.try_spend():
-                tasks.append(
-                    asyncio.create_task(self._run_hedge(context, slot))
-                )
+            if (
+                not done
+                and context.servers.has_room
+                and self._budget.try_spend()
+            ):
+                tasks.append(asyncio.create_task(self._run_hedge(context)))
             pending = set(tasks)
             while pending:
                 done, pending = await asyncio.wait(
@@ -250,10 +251,11 @@
         return await self._run_attempt(context, slot)
 
     async def _run_hedge(
-        self, context: _RequestContext, first: Slot
+        self, context: _RequestContext
     ) -> _EndedAttempt | None:
-        exclude = frozenset({first.server.server_id})
-        acquired = await self._acquire(context, exclude, AttemptReason.HEDGE)
+        acquired = await self._acquire(
+            context, context.servers.ids, AttemptReason.HEDGE
+        )
         if acquired.is_error():
             return None
         return await self._run_attempt(context, acquired.ok)
@@ -261,6 +263,9 @@
     async def _run_attempt(
         self, context: _RequestContext, slot: Slot
     ) -> _EndedAttempt:
+        if not context.servers.try_add(slot.server.server_id):
+            slot.release(outcome=None)
+            return _EndedAttempt(slot, Error(_excess_failure(slot)))
         loop = asyncio.get_running_loop()
         started = loop.time()
         result: Result[BackendResponse, ExchangeFailure] = Error(
@@ -379,6 +384,15 @@
     )
 
 
+def _excess_failure(slot: Slot) -> ExchangeFailure:
+    return ExchangeFailure(
+        FailureKind.CANCELLED,
+        Verdict.DID_NOT_RUN,
+        f'server {slot.server.server_id} was not tried: the request has '
+        'reached its largest number of servers',
+    )
+
+
 def _attempt_outcome(
     result: Result[BackendResponse, ExchangeFailure], latency: float
 ) -> AttemptOutcome:
