Let a hedge continue after a server error

Callers saw: a 500 of the first server although the hedge at a second one was under way and would have answered; it was cancelled.

Cause: any response ended the pair of attempts, also one that is retried.

Result: test_hedge_goes_on_after_an_error_of_the_first_server and test_success_goes_before_an_error_at_the_same_time failed before.

--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -49,6 +49,10 @@
     slot: Slot
     result: Result[BackendResponse, ExchangeFailure]
 
+    def is_final(self, request: Request) -> bool:
+        """Whether its response goes to the caller without a retry."""
+        return self.result.is_ok() and not _is_retried(request, self.result.ok)
+
 
 class CombinedVerdict:
     """Combined verdict of the ended attempts of one request."""
@@ -153,12 +157,12 @@
             for attempt in await self._attempt_with_hedge(
                 context, acquired.ok
             ):
+                if attempt.is_final(request):
+                    return attempt.result
                 if attempt.result.is_ok():
                     response = attempt.result.ok
                 else:
                     failure = attempt.result.error
-            if response is not None and not _is_retried(request, response):
-                return Ok(response)
             if not _has_time(request):
                 break
         if response is not None:
@@ -201,8 +205,9 @@
     ) -> list[_EndedAttempt]:
         """Run an attempt, and a hedge if it is slow.
 
-        After the first response the other attempt is cancelled, which closes
-        its connection.
+        After the first final response the other attempt is cancelled, which
+        closes its connection. A server error does not end the other attempt,
+        which may still succeed.
         """
         delay = None
         is_hedgeable = (
@@ -232,7 +237,7 @@
                 )
                 finished = [task.result() for task in tasks if task in done]
                 ended += [attempt for attempt in finished if attempt]
-                if any(attempt.result.is_ok() for attempt in ended):
+                if any(attempt.is_final(context.request) for attempt in ended):
                     break
         finally:
             for task in tasks:
--- a/tests/attempts/test_server_limit.py
+++ b/tests/attempts/test_server_limit.py
@@ -28,6 +28,27 @@
     assert len(world.servers_sent_to) <= max_attempts
 
 
+def test_hedge_goes_on_after_an_error_of_the_first_server() -> None:
+    """Guards against an error for a caller whose hedge would be answered."""
+    world = World(
+        {'a': Behaviour(status=500, work_s=0.1), 'b': Behaviour(work_s=0.3)}
+    )
+    result = run_paused(world.run(max_attempts=2))
+    assert result.ok.status == 200
+    assert world.row.ends == [('a', 'server-error'), ('b', 'ok')]
+
+
+def test_success_goes_before_an_error_at_the_same_time() -> None:
+    """Guards against the error of a hedge that replaces a success."""
+    world = World(
+        {
+            'a': Behaviour(work_s=0.1),
+            'b': Behaviour(status=500, work_s=0.05),
+        },
+    )
+    assert run_paused(world.run(max_attempts=2)).ok.status == 200
+
+
 _BEHAVIOURS = st.builds(
     Behaviour,
     status=st.sampled_from([200, 500, 0]),
