--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -158,7 +158,7 @@
                 context, acquired.ok
             ):
                 if attempt.is_final(request):
-                    return attempt.result
+                    return Ok(attempt.result.ok)
                 if attempt.result.is_ok():
                     response = attempt.result.ok
                 else:
