Obey servers that leave or ask for a pause

Cause: servers say in all responses that they leave (Server-Leaving), and a refusal may tell for how long the server wants no request (Retry-After). Nothing read either.

Change: ServerNotices keeps both from responses and load checks, late ones too. The choice of a server and the check right before a send consult it, so first attempts, retries and hedges obey alike. A paused server gets no load checks either; if all are paused, the request is refused at once with the end of the shortest pause as Retry-After. Notices end when the server is removed or, by the start time in its registration, has started again.

--- a/src/teaselrock/cli/explain.py
+++ b/src/teaselrock/cli/explain.py
@@ -41,10 +41,12 @@
 _RATE_LIMIT_EVENTS: Final = frozenset(
     {Event.SERVER_RATE_LIMITED, Event.SERVER_RATE_LIMIT_ENDED}
 )
+_NOTICE_EVENTS: Final = frozenset({Event.SERVER_LEAVES, Event.SERVER_PAUSES})
 _STORE_EVENTS: Final = frozenset({Event.STORE_LOST, Event.STORE_REGAINED})
 _CONTEXT_EVENTS: Final = (
     _SERVER_EVENTS
     | _RATE_LIMIT_EVENTS
+    | _NOTICE_EVENTS
     | _STORE_EVENTS
     | {
         Event.GATEWAY_STARTED,
@@ -80,6 +82,7 @@
         self._latest: dict[str, LogLine] = {}
         self._servers: OrderedDict[str, LogLine] = OrderedDict()
         self._rate_limits: OrderedDict[str, LogLine] = OrderedDict()
+        self._notices: OrderedDict[str, LogLine] = OrderedDict()
 
     def record(self, line: LogLine) -> None:
         """Record a line; a start of the process discards earlier lines."""
@@ -87,10 +90,13 @@
             self._latest.clear()
             self._servers.clear()
             self._rate_limits.clear()
+            self._notices.clear()
         if line.number in _SERVER_EVENTS:
             _record_server_line(self._servers, line)
         elif line.number in _RATE_LIMIT_EVENTS:
             _record_server_line(self._rate_limits, line)
+        elif line.number in _NOTICE_EVENTS:
+            _record_server_line(self._notices, line)
         elif line.number in _STORE_EVENTS:
             self._latest[f'store {line.fields.get("kind", "")}'] = line
         elif line.number in (Event.WATCH_STARTED, Event.WATCH_ENDED):
@@ -110,7 +116,11 @@
         names.update(dict.fromkeys(_SERVER_NAME.findall(detail)))
         lines = list(self._latest.values())
         for name in names:
-            for server_lines in (self._servers, self._rate_limits):
+            for server_lines in (
+                self._servers,
+                self._rate_limits,
+                self._notices,
+            ):
                 if name in server_lines:
                     lines.append(server_lines[name])
         return sorted(lines, key=lambda line: line.time)
--- a/src/teaselrock/coordination/choice/__init__.py
+++ b/src/teaselrock/coordination/choice/__init__.py
@@ -1,7 +1,7 @@
 """Choice of a backend server by load checks right before the request.
 
-Holds the load checks, latency estimates, the history of each server, and the
-limits for idle connections and for the rates of servers.
+Holds the load checks, latency estimates, the history and the notices of each
+server, and the limits for idle connections and for the rates of servers.
 """
 
 from teaselrock.coordination.choice.announced_limits import AnnouncedLimits
@@ -11,6 +11,7 @@
 from teaselrock.coordination.choice.load_checks import CheckCounts
 from teaselrock.coordination.choice.load_checks import LoadChecks
 from teaselrock.coordination.choice.server_history import ServerHistory
+from teaselrock.coordination.choice.server_notices import ServerNotices
 from teaselrock.coordination.choice.server_rates import ServerRates
 
 __all__ = (
@@ -20,6 +21,7 @@
     'LatencyEstimates',
     'LoadChecks',
     'ServerHistory',
+    'ServerNotices',
     'ServerRates',
     'SharedIdleLimit',
 )
--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -24,6 +24,7 @@
 from teaselrock.coordination.choice.load_checks import CheckResult
 from teaselrock.coordination.choice.load_checks import LoadChecks
 from teaselrock.coordination.choice.server_history import ServerHistory
+from teaselrock.coordination.choice.server_notices import ServerNotices
 from teaselrock.coordination.choice.server_rates import RateDenial
 from teaselrock.coordination.choice.server_rates import ServerRates
 from teaselrock.coordination.ports import BackendConnection
@@ -47,6 +48,8 @@
 # No more servers are checked once the best expected latency is within this
 # multiple of the target latency.
 SUFFICIENT_TARGET_FACTOR: Final = 1.0
+# Callers that were refused during a pause return within this time after it.
+PAUSE_RETURN_SPREAD_S: Final = 0.5
 # Send times kept for each server, since a request that was sent after a load
 # check started is not in its load report.
 MAX_SEND_TIMES: Final = 32
@@ -155,6 +158,7 @@
         load_checks: LoadChecks,
         server_rates: ServerRates,
         history: ServerHistory,
+        notices: ServerNotices,
         latency_estimates: LatencyEstimates,
         rng: random.Random,
     ) -> None:
@@ -163,6 +167,8 @@
         self._load_checks = load_checks
         self._server_rates = server_rates
         self._history = history
+        self._notices = notices
+        self._rng = rng
         self._latency_estimates = latency_estimates
         self._check_groups = CheckGroups(own_zone=own_zone, rng=rng)
         self._send_times: defaultdict[str, deque[float]] = defaultdict(
@@ -189,13 +195,20 @@
                 f'request for service {request.service} has no route, which '
                 'load checks need'
             )
-        servers = [
+        allowed = [
             server
             for server in self._view.backend_servers(service=request.service)
             if server.zone.region in regions
             and server.server_id not in exclude
-            and self._history.may_check(server.server_id)
         ]
+        servers = [
+            server
+            for server in allowed
+            if self._history.may_check(server.server_id)
+            and self._notices.may_send(server.server_id)
+        ]
+        if not servers and (refusal := self._paused_refusal(allowed)):
+            return Error(refusal)
         checks: list[CheckResult] = []
         chosen: _Chosen | None = None
         try:
@@ -292,6 +305,26 @@
             )
         return Error(refusals.no_server_refusal(bool(servers)))
 
+    def _paused_refusal(
+        self, servers: Sequence[BackendServer]
+    ) -> Refusal | None:
+        """Refusal that names the shortest pause, None without a pause."""
+        pauses = [
+            pause
+            for server in servers
+            if (pause := self._notices.pause(server.server_id)) is not None
+        ]
+        if not pauses:
+            return None
+        first = min(pauses, key=lambda pause: pause.until)
+        remaining = first.until - asyncio.get_running_loop().time()
+        return refusals.paused_refusal(
+            server_id=first.server.server_id,
+            remaining=remaining,
+            retry_after=remaining
+            + self._rng.uniform(0, PAUSE_RETURN_SPREAD_S),
+        )
+
     def _overload_refusal(
         self,
         request: Request,
@@ -352,11 +385,14 @@
 
     def may_serve(self, server: BackendServer) -> bool:
         """Whether the server may still get requests."""
-        return self._view.may_serve(server)
+        return self._view.may_serve(server) and self._notices.may_send(
+            server.server_id
+        )
 
     def drop_server(self, server_id: str) -> None:
         """Drop all state of a server that was removed."""
         self._history.drop_server(server_id)
+        self._notices.drop_server(server_id)
         self._server_rates.drop_server(server_id)
         self._send_times.pop(server_id, None)
 
@@ -374,6 +410,7 @@
             return
         server = check.server
         if outcome.load is not None:
+            self._notices.observe(server=server, load=outcome.load)
             self._server_rates.observe_response(
                 check._replace(load=outcome.load)
             )
@@ -396,7 +433,7 @@
         """Candidates by rising score."""
         candidates: list[_Candidate] = []
         for check in checks:
-            if not self._view.may_serve(check.server):
+            if not self.may_serve(check.server):
                 continue
             send_times = self._send_times[check.server.server_id]
             expected_latency = (
--- a/src/teaselrock/coordination/choice/load_checks.py
+++ b/src/teaselrock/coordination/choice/load_checks.py
@@ -13,6 +13,7 @@
 from expression import Result
 
 from teaselrock.coordination.choice.server_history import ServerHistory
+from teaselrock.coordination.choice.server_notices import ServerNotices
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.events import Events
@@ -57,11 +58,13 @@
         connector: BackendConnector,
         connections: ConnectionPool,
         history: ServerHistory,
+        notices: ServerNotices,
         events: Events,
     ) -> None:
         self._connector = connector
         self._pool = connections
         self._history = history
+        self._notices = notices
         self._events = events
         self._late_checks: set[asyncio.Task[CheckResult | None]] = set()
         self._counts = CheckCounts()
@@ -157,6 +160,7 @@
             answered=self._counts.answered + 1
         )
         self._history.record_reachable(server.server_id)
+        self._notices.observe(server=server, load=result.ok)
         return CheckResult(
             server, connection, result.ok, started_at, loop.time()
         )
--- a/src/teaselrock/coordination/choice/refusals.py
+++ b/src/teaselrock/coordination/choice/refusals.py
@@ -76,6 +76,23 @@
     )
 
 
+def paused_refusal(
+    *, server_id: str, remaining: float, retry_after: float
+) -> Refusal:
+    """Refusal of a request since all servers asked for a pause.
+
+    `remaining` is the rest of the shortest pause, that of `server_id`, and
+    `retry_after` when the caller should return, both in seconds.
+    """
+    return Refusal(
+        RefusalCode.OVERLOADED,
+        Verdict.DID_NOT_RUN,
+        f'server {server_id} wants no requests for {remaining:.1f} s; no '
+        'other server may take the request',
+        retry_after=retry_after,
+    )
+
+
 def no_server_refusal(has_candidates: bool) -> Refusal:
     """Refusal of a request without a server that may take it.
 
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -26,7 +26,8 @@
 class InstallationSync:
     """Updates the view of the installation on each change of a mirror.
 
-    `on_removed` is called with the id of each server that is removed.
+    `on_removed` is called with the id of each server that is removed or whose
+    process has started again.
     """
 
     def __init__(
@@ -95,8 +96,12 @@
         timer = self._removals.pop(entry.name, None)
         if timer is not None:
             timer.cancel()
-        if self._view.server(entry.name) == entry.value:
+        known = self._view.server(entry.name)
+        if known == entry.value:
             return
+        if known is not None and known.started_at != entry.value.started_at:
+            # Nothing that is known of the former process holds for this one.
+            self._on_removed(entry.name)
         self._view.put_server(entry.value)
         self._events.emit(
             event=(
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -18,6 +18,7 @@
 from teaselrock.coordination.choice import LatencyEstimates
 from teaselrock.coordination.choice import LoadChecks
 from teaselrock.coordination.choice import ServerHistory
+from teaselrock.coordination.choice import ServerNotices
 from teaselrock.coordination.choice import ServerRates
 from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.connections import ConnectionPool
@@ -98,8 +99,10 @@
 
     `view_age` is in seconds; `servers` is the number of servers in service,
     `rate_limited_servers` that of servers that announce a rate limit, and
-    `announced_rates` the sum of these limits in requests per second. All of
-    them and `retry_budgets` are by service. `permits` counts those for servers
+    `announced_rates` the sum of these limits in requests per second.
+    `leaving_servers` and `paused_servers` are the numbers of those that want
+    no more requests, or none for a while, by their own responses. All of them
+    and `retry_budgets` are by service. `permits` counts those for servers
     with limited rates.
     """
 
@@ -111,6 +114,8 @@
     retry_budgets: Mapping[str, BudgetCounts]
     rate_limited_servers: Mapping[str, int]
     announced_rates: Mapping[str, float]
+    leaving_servers: Mapping[str, int]
+    paused_servers: Mapping[str, int]
     permits: PermitCounts
 
 
@@ -156,10 +161,12 @@
             idle_limit=SharedIdleLimit(view=self._view, roster=self._roster),
         )
         history = ServerHistory()
+        self._notices = ServerNotices(events=ports.events)
         self._checks = LoadChecks(
             connector=ports.connector,
             connections=self._connections,
             history=history,
+            notices=self._notices,
             events=ports.events,
         )
         self._announced_limits = AnnouncedLimits(events=ports.events)
@@ -175,6 +182,7 @@
                 rng=random.Random(rng.getrandbits(64)),
             ),
             history=history,
+            notices=self._notices,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(rng.getrandbits(64)),
         )
@@ -217,6 +225,8 @@
             self._runners.budget_counts,
             self._announced_limits.server_counts,
             self._announced_limits.total_rates,
+            self._notices.leaving_counts,
+            self._notices.paused_counts,
             self._permits.counts,
         )
 
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -39,6 +39,8 @@
     Event.SERVER_GONE: 50,
     Event.SERVER_RATE_LIMITED: 50,
     Event.SERVER_RATE_LIMIT_ENDED: 50,
+    Event.SERVER_LEAVES: 50,
+    Event.SERVER_PAUSES: 50,
     Event.STORE_LOST: 5,
     Event.STORE_REGAINED: 5,
 }
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -86,6 +86,22 @@
             ),
             stats.announced_rates,
         )
+        yield _with_samples(
+            GaugeMetricFamily(
+                'teaselrock_leaving_servers',
+                'Backend servers whose responses say that they leave.',
+                labels=('service',),
+            ),
+            stats.leaving_servers,
+        )
+        yield _with_samples(
+            GaugeMetricFamily(
+                'teaselrock_paused_servers',
+                'Backend servers that want no requests for a while.',
+                labels=('service',),
+            ),
+            stats.paused_servers,
+        )
         yield _with_samples(
             CounterMetricFamily(
                 'teaselrock_rate_permits',
--- a/src/teaselrock/platform/documents.py
+++ b/src/teaselrock/platform/documents.py
@@ -105,21 +105,24 @@
     """Decode the registration that a backend server writes for itself.
 
     Any client may write such objects, so each field is checked.
-    `cold_left_ms` and `born` are ignored: they are only as recent as the
-    entry, and load checks on new connections report restarts and cold starts.
+    `cold_left_ms` is ignored: it is only as recent as the entry, and load
+    checks report cold starts.
     """
     try:
         zone = non_empty_text(spec['zone'])
         state = non_empty_text(spec['state'])
         concurrency = spec['slots']
+        # Start of the server's process, in Unix milliseconds.
+        started_at = spec.get('born', 0)
         address = non_empty_text(spec['address'])
         _, colon, port = address.rpartition(':')
         is_valid = (
             state in _STATES
             and zone in zone_regions
-            and isinstance(concurrency, int)
-            and not isinstance(concurrency, bool)
+            and _is_whole_number(concurrency)
             and concurrency > 0
+            and _is_whole_number(started_at)
+            and started_at >= 0
             and bool(colon)
             and 0 < int(port) < 65536
         )
@@ -132,11 +135,17 @@
             address=address,
             concurrency=concurrency,
             is_draining=state == 'draining',
+            started_at=started_at,
         )
     except MALFORMED_ERRORS:
         return None
 
 
+def _is_whole_number(value: Any) -> bool:
+    # JSON booleans are instances of int.
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
 def decode_zone_out(name: str, spec: Any) -> str | None:
     """Decode an evacuation; the object is named after the zone."""
     return name
--- a/src/teaselrock/platform/headers.py
+++ b/src/teaselrock/platform/headers.py
@@ -37,6 +37,11 @@
 # Requests per second that the server takes from all instances together.
 RATE_LIMIT: Final = 'Server-Limit'
 
+# '1' in all responses of a server that ends soon.
+LEAVING: Final = 'Server-Leaving'
+# In a 503: for how many seconds the server wants no request of this instance.
+RETRY_AFTER: Final = 'Retry-After'
+
 DEFAULT_HEALTH_TARGET: Final = '/health'
 MISDIRECTED_REQUEST_STATUS: Final = 421
 # Callers take these statuses as a promise that the request did not run.
@@ -290,11 +295,17 @@
         work_factor=work_factor,
         cold_remaining=cold_remaining,
         is_healthy=response.status == 200,
-        rate_limit=_rate_limit(response),
+        rate_limit=_decimal_field(response, RATE_LIMIT),
+        is_leaving=(response.field(LEAVING) or '').strip() == '1',
+        retry_after=(
+            _decimal_field(response, RETRY_AFTER)
+            if response.status == 503
+            else None
+        ),
     )
 
 
-def _rate_limit(response: ResponseParser) -> float | None:
-    """Rate limit of a response; None if it has none or cannot be read."""
-    text = (response.field(RATE_LIMIT) or '').strip()
+def _decimal_field(response: ResponseParser, name: str) -> float | None:
+    """A decimal number; None if it is missing or cannot be read."""
+    text = (response.field(name) or '').strip()
     return float(text) if _DECIMAL_FRACTION.fullmatch(text) else None
--- a/src/teaselrock/state/topology.py
+++ b/src/teaselrock/state/topology.py
@@ -30,7 +30,8 @@
 
     `concurrency` is the number of concurrent requests that it can handle
     when warm; `address` is `host:port`. A server that `is_draining` gets no
-    new requests.
+    new requests. `started_at` is when its process started, in Unix
+    milliseconds, 0 if that is unknown; a server may start again under its id.
     """
 
     server_id: str
@@ -39,6 +40,7 @@
     address: str
     concurrency: int
     is_draining: bool = False
+    started_at: int = 0
 
 
 class Instance(NamedTuple):
@@ -60,7 +62,9 @@
     `work_factor` is the current processing time relative to the usual one
     (1.0). `cold_remaining` is how much longer the server stays cold, in
     seconds. `rate_limit` is how many requests per second the server takes from
-    all instances together, None without such a limit.
+    all instances together, None without such a limit. `is_leaving` means that
+    the server ends soon and wants no new requests; `retry_after` is for how
+    many seconds it wants none from this instance, None without such a wish.
     """
 
     start_id: str
@@ -72,3 +76,5 @@
     cold_remaining: float = 0.0
     is_healthy: bool = True
     rate_limit: float | None = None
+    is_leaving: bool = False
+    retry_after: float | None = None
--- a/tests/choice/choice_world.py
+++ b/tests/choice/choice_world.py
@@ -12,6 +12,7 @@
 from teaselrock.coordination.choice import LatencyEstimates
 from teaselrock.coordination.choice import LoadChecks
 from teaselrock.coordination.choice import ServerHistory
+from teaselrock.coordination.choice import ServerNotices
 from teaselrock.coordination.choice import ServerRates
 from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.connections import ConnectionPool
@@ -24,6 +25,7 @@
 from teaselrock.coordination.rate_permits import PermitLender
 from teaselrock.coordination.rate_permits import RatePermits
 from teaselrock.coordination.registry import InstallationView
+from teaselrock.state import AttemptReason
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendResponse
 from teaselrock.state import BackendServer
@@ -168,6 +170,7 @@
             idle_limit=SharedIdleLimit(view=self.view, roster=self.roster),
         )
         self.history = ServerHistory()
+        self.notices = ServerNotices(events=self)
         self.slots = CheckedSlots(
             own_zone=EAST_A,
             view=self.view,
@@ -175,6 +178,7 @@
                 connector=self,
                 connections=self.pool,
                 history=self.history,
+                notices=self.notices,
                 events=self,
             ),
             server_rates=ServerRates(
@@ -185,6 +189,7 @@
                 rng=random.Random(2),
             ),
             history=self.history,
+            notices=self.notices,
             latency_estimates=LatencyEstimates(),
             rng=random.Random(1),
         )
@@ -201,7 +206,11 @@
         self.events.append(event)
 
     async def acquire(
-        self, *, remaining: float = 2.0, exclude: tuple[str, ...] = ()
+        self,
+        *,
+        remaining: float = 2.0,
+        exclude: tuple[str, ...] = (),
+        reason: AttemptReason | None = None,
     ) -> Result[Slot, Refusal]:
         now = asyncio.get_running_loop().time()
         return await self.slots.acquire(
@@ -215,5 +224,5 @@
             regions=frozenset({'east', 'west'}),
             weight=1,
             exclude=frozenset(exclude),
-            reason=None,
+            reason=reason,
         )
--- a/tests/platform/gateway_world.py
+++ b/tests/platform/gateway_world.py
@@ -82,13 +82,18 @@
             await asyncio.sleep(0.01)
 
     async def send_request(
-        self, target: str, *, method: str = 'GET', deadline_ms: int = 1000
+        self,
+        target: str,
+        *,
+        method: str = 'GET',
+        deadline_ms: int = 1000,
+        request_id: str = 'id1',
     ) -> tuple[int, dict[str, str], bytes]:
         host, _, port = self.caller_address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             f'{method} {target} HTTP/1.1\r\nHost: a.example\r\n'
-            f'{headers.REQUEST_ID}: id1\r\n'
+            f'{headers.REQUEST_ID}: {request_id}\r\n'
             f'{headers.DEADLINE_MS}: {deadline_ms}\r\n'
             'Connection: close\r\n\r\n'.encode()
         )
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -172,6 +172,7 @@
         self.server_id = server_id
         self.load = '0,0,3,100'
         self.cold_left_ms = 0
+        self.is_leaving = False
         self.received: list[CallerRequest] = []
         self.responses: list[Response | None] = []
         self.delay_s = 0.0
@@ -196,6 +197,7 @@
                 headers.SERVER_ID: self.server_id,
                 headers.SERVER_LOAD: self.load,
                 headers.COLD_LEFT_MS: str(self.cold_left_ms),
+                **self._notice_fields(),
             }
             return 200, fields, b''
         self.received.append(request)
@@ -210,4 +212,21 @@
             or '',
             headers.SIGNATURE: f'{self.server_id}.1',
             headers.SERVER_LOAD: self.load,
+            **self._notice_fields(),
         }
+
+    def refusal(
+        self, request_id: str, *, retry_after: str | None = None
+    ) -> Response:
+        """A 503 that states that the request was not run."""
+        fields = {
+            headers.NOT_EXECUTED: '1',
+            headers.REQUEST_ID: request_id,
+            **self._notice_fields(),
+        }
+        if retry_after is not None:
+            fields[headers.RETRY_AFTER] = retry_after
+        return 503, fields, b''
+
+    def _notice_fields(self) -> dict[str, str]:
+        return {headers.LEAVING: '1'} if self.is_leaving else {}
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -183,6 +183,7 @@
         AvailabilityZone('east', 'east-a'),
         '10.128.0.9:8080',
         6,
+        started_at=1764856200000,
     )
     assert documents.decode_server('i-1', SERVER_SPEC, ZONES) == expected
     draining = {**SERVER_SPEC, 'state': 'draining'}
@@ -200,6 +201,9 @@
         ('slots', '6'),
         ('slots', True),
         ('slots', 0),
+        ('born', '7'),
+        ('born', 1.5),
+        ('born', -1),
         ('address', '10.128.0.9'),
         ('address', '10.128.0.9:x'),
         ('address', '10.128.0.9:0'),
@@ -457,6 +461,62 @@
         assert info.load.rate_limit == rate
 
 
+@pytest.mark.parametrize(
+    ('status', 'line', 'expected'),
+    [
+        pytest.param('503 S', 'Retry-After: 1.5', 1.5, id='refusal'),
+        pytest.param('200 OK', 'Retry-After: 1.5', None, id='success'),
+        pytest.param('503 S', 'Retry-After: soon', None, id='text'),
+        pytest.param('503 S', 'Retry-After: -1', None, id='negative'),
+        pytest.param('503 S', 'X-Other: 1', None, id='none'),
+    ],
+)
+def test_pause_of_a_response(
+    status: str, line: str, expected: float | None
+) -> None:
+    """Guards against a pause that is overlooked or read from garbage."""
+    dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
+    assert BACKEND is not None
+    refused = f'{headers.NOT_EXECUTED}: 1\r\n' if status[0] == '5' else ''
+    info = dialect.interpret(
+        server=BACKEND,
+        content=CONTENT,
+        response=_parse_response(
+            f'{status}\r\n{refused}{SIGNATURE_LINE}{OWN_ID_LINE}{line}\r\n'
+        ),
+        number=1,
+    )
+    assert info.load is not None
+    assert info.load.retry_after == expected
+    if refused:
+        assert info.failure is not None
+        assert info.failure.load == info.load
+
+
+def test_leaving_server_is_read_from_every_response() -> None:
+    """Guards against a departure that only some responses tell."""
+    dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
+    assert BACKEND is not None
+    check = dialect.load_check(server=BACKEND)
+    for content, head in (
+        (CONTENT, f'200 OK\r\n{SIGNATURE_LINE}{OWN_ID_LINE}'),
+        (CONTENT, f'500 E\r\n{SIGNATURE_LINE}{OWN_ID_LINE}'),
+        (CONTENT, f'503 S\r\n{headers.NOT_EXECUTED}: 1\r\n{OWN_ID_LINE}'),
+        (check, f'503 S\r\n{headers.SERVER_ID}: i-1\r\n'),
+    ):
+        for value in ('1', '0'):
+            info = dialect.interpret(
+                server=BACKEND,
+                content=content,
+                response=_parse_response(
+                    f'{head}{headers.LEAVING}: {value}\r\n'
+                ),
+                number=1,
+            )
+            assert info.load is not None
+            assert info.load.is_leaving == (value == '1')
+
+
 def test_request_fields() -> None:
     """Guards against requests without deadline, id or expected server."""
     dialect = headers.PlatformBackendDialect(health_target=lambda name: '/h')
--- a/tests/platform/test_explained_requests.py
+++ b/tests/platform/test_explained_requests.py
@@ -56,6 +56,26 @@
     assert request['attempts'] == []
 
 
+def test_pause_of_all_servers_is_explained(explain: Any) -> None:
+    """Guards against a refusal during a pause whose server is not named."""
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            server.responses = [server.refusal('id0', retry_after='5')]
+        await world.send_request('/b/1', method='POST', request_id='id0')
+        assert (await world.send_request('/x/1'))[0] == 503
+
+    (request,) = explain(scenario)
+    assert request['fields']['code'] == 'overloaded'
+    assert 'wants no requests' in request['fields']['detail']
+    (pause,) = (
+        line['fields']
+        for line in request['known']
+        if line['event'] == 'server-pauses'
+    )
+    assert pause['seconds'] == 5.0
+
+
 def test_unknown_outcome_is_explained(explain: Any) -> None:
     """Guards against a timeout whose server or evidence is not in the log.
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -100,6 +100,49 @@
     run(scenario)
 
 
+def test_server_that_leaves_gets_no_further_request(run: Run) -> None:
+    """Guards against requests to a server whose responses say it leaves.
+
+    Its registration still says that it is ready, and it starts again under
+    the same id later.
+    """
+
+    async def scenario(world: World) -> None:
+        leaving, other = world.servers
+        leaving.is_leaving = True
+        for count in range(1, 4):
+            assert (await world.send_request('/x/1'))[0] == 200
+            assert len(other.received) == count
+        assert leaving.received == []
+        leaving.is_leaving = False
+        other.load = '3,9,3,100'
+        world.store.put(
+            'servers', leaving.server_id, leaving.entry(born=1764856200000)
+        )
+        async with asyncio.timeout(5):
+            while not leaving.received:
+                await world.send_request('/x/1')
+                await asyncio.sleep(0.05)
+
+    run(scenario)
+
+
+def test_server_gets_no_request_before_its_retry_after(run: Run) -> None:
+    """Guards against requests to a server that asked for a pause."""
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            server.responses = [server.refusal('id1', retry_after='1.6')]
+        status, _, _ = await world.send_request('/b/1', method='POST')
+        assert (status, world.received_count) == (503, 2)
+        status, fields, _ = await world.send_request('/b/1', method='POST')
+        assert (status, world.received_count) == (503, 2)
+        await asyncio.sleep(float(fields['Retry-After']))
+        assert (await world.send_request('/x/1'))[0] == 200
+
+    run(scenario)
+
+
 def test_refusal_that_may_belong_to_another_build_is_no_promise(
     run: Run,
 ) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from world import Arrival
+from world import Pause
 from world import Run
 
 # Time without a fault after which a gateway must meet guarantees that have a
@@ -25,6 +26,10 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5
+# A server that asked for a pause gets at most so many requests of the same
+# gateway, from this long after its response.
+PAUSE_KNOWN_S: Final = 0.5
+PAUSE_SLACK: Final = 2
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -105,6 +110,43 @@
     return found
 
 
+def ignored_pauses(
+    calls: Iterable[Call],
+    arrivals: Sequence[Arrival],
+    pauses: Iterable[Pause],
+    faults: Sequence[Fault],
+) -> list[str]:
+    """Servers that got requests of a gateway before the end of a pause.
+
+    A gateway that a fault disturbed meanwhile may not know of the pause.
+    """
+    gateways = {call.request_id: call.gateway for call in calls}
+    found: list[str] = []
+    for pause in pauses:
+        gateway = gateways.get(pause.request_id)
+        end = pause.at + pause.seconds
+        if gateway is None or any(
+            fault.gateway in ('', gateway)
+            and fault.start <= end
+            and fault.end + TIMER_SLACK_S >= pause.at
+            for fault in faults
+        ):
+            continue
+        count = sum(
+            1
+            for arrival in arrivals
+            if arrival.server_id == pause.server_id
+            and pause.at + PAUSE_KNOWN_S + TIMER_SLACK_S < arrival.at < end
+            and gateways.get(arrival.request_id) == gateway
+        )
+        if count > PAUSE_SLACK:
+            found.append(
+                f'{pause.server_id} got {count} requests of {gateway} in a '
+                f'pause of {pause.seconds:.1f} s'
+            )
+    return found
+
+
 def unexpected_exits(codes: Mapping[str, int | None]) -> list[str]:
     """Gateways whose process has exited after the last fault.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 from checks import exceeded_limits  # noqa: E402
 from checks import Fault  # noqa: E402
 from checks import find_violations  # noqa: E402
+from checks import ignored_pauses  # noqa: E402
 from checks import Limit  # noqa: E402
 from checks import UNDISTURBED_S  # noqa: E402
 from checks import unexpected_exits  # noqa: E402
@@ -56,6 +57,7 @@
         self._limits: list[Limit] = []
         # Of its own, so that the faults of a seed stay the same.
         self._limits_rng = random.Random(f'{seed} limits')
+        self._notices_rng = random.Random(f'{seed} notices')
         self._problems: list[str] = []
         self._version = 0
         self._route = ''
@@ -80,6 +82,7 @@
                 asyncio.create_task(self._run_callers()),
                 asyncio.create_task(self._inject_faults()),
                 asyncio.create_task(self._limit_rates()),
+                asyncio.create_task(self._ask_for_pauses()),
             ]
             await asyncio.sleep(self._seconds)
             for task in tasks[1:]:
@@ -92,6 +95,12 @@
             self._calls, self._world.runs, self._fault_log
         )
         self._problems += exceeded_limits(self._world.arrivals, self._limits)
+        self._problems += ignored_pauses(
+            self._calls,
+            self._world.arrivals,
+            self._world.pauses,
+            self._fault_log,
+        )
         return self._problems
 
     # Faults
@@ -141,6 +150,17 @@
                 )
                 server.rate_limit = None
 
+    async def _ask_for_pauses(self) -> None:
+        """Let one server after the other refuse requests for a while."""
+        while True:
+            await asyncio.sleep(self._notices_rng.uniform(0.5, 2.0))
+            server = self._notices_rng.choice(self._world.servers)
+            server.pause_s = self._notices_rng.uniform(0.5, 3.0)
+            try:
+                await asyncio.sleep(self._notices_rng.uniform(0.1, 0.5))
+            finally:
+                server.pause_s = None
+
     def _pick(self) -> Gateway:
         return self._rng.choice(self._world.gateways)
 
@@ -233,9 +253,15 @@
         else:
             world.store.delete('servers', server.server_id)
         server.departure_deadline = time.monotonic() + PROPAGATION_LIMIT_S
+        server.is_leaving = self._notices_rng.random() < 0.5
         await asyncio.sleep(self._rng.uniform(2.5, 5.0))
         server.departure_deadline = None
-        world.store.put('servers', server.server_id, server.soak_entry())
+        server.is_leaving = False
+        world.store.put(
+            'servers',
+            server.server_id,
+            server.soak_entry(born=time.time_ns() // 1_000_000),
+        )
 
     async def _replace_routes(self) -> None:
         self._change_routes()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,12 +4,14 @@
 from checks import exceeded_limits
 from checks import Fault
 from checks import find_violations
+from checks import ignored_pauses
 from checks import Limit
 from checks import UNDISTURBED_S
 from checks import unexpected_exits
 from checks import unrecovered_gateways
 import pytest
 from world import Arrival
+from world import Pause
 from world import Run
 
 LOOKUP_CALL = Call('r1', 'gw-1', False, 10.0, 10.2, 200, True)
@@ -115,6 +117,30 @@
     assert len(found) == is_found
 
 
+@pytest.mark.parametrize(
+    ('count', 'faults', 'is_found'),
+    [(2, (), False), (3, (), True), (3, (KILL,), False)],
+)
+def test_ignored_pause_is_found(
+    count: int, faults: tuple[Fault, ...], is_found: bool
+) -> None:
+    """Guards against a check that misses requests during a pause."""
+    calls = [
+        LOOKUP_CALL._replace(request_id=f'r{index}') for index in range(9)
+    ]
+    calls.append(LOOKUP_CALL._replace(request_id='other', gateway='gw-2'))
+    pause = Pause('s1', 'r0', 10.0, 3.0)
+    arrivals = [
+        *(Arrival('s1', 11.0, f'r{index}') for index in range(count)),
+        *(Arrival('s1', 10.2, f'r{index}') for index in range(9)),
+        *(Arrival('s1', 13.1, f'r{index}') for index in range(9)),
+        *[Arrival('s1', 11.0, 'other')] * 9,
+        *[Arrival('s2', 11.0, 'r1')] * 9,
+    ]
+    found = ignored_pauses(calls, arrivals, [pause], faults)
+    assert len(found) == is_found
+
+
 def test_gateway_that_does_not_recover_is_found() -> None:
     """Guards against a check that misses a gateway with outdated routes."""
     found = unrecovered_gateways({'gw-1': 200, 'gw-2': 404, 'gw-3': 0})
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -43,6 +43,16 @@
 
     server_id: str
     at: float
+    request_id: str = ''
+
+
+class Pause(NamedTuple):
+    """A refusal that told its gateway when to come back, in seconds."""
+
+    server_id: str
+    request_id: str
+    at: float
+    seconds: float
 
 
 class SoakServer(PlatformServer):
@@ -55,12 +65,16 @@
         zone: str,
         runs: list[Run],
         arrivals: list[Arrival],
+        pauses: list[Pause],
         seed: int,
     ) -> None:
         super().__init__(server_id)
         self.zone = zone
         self.runs = runs
         self.arrivals = arrivals
+        self.pauses = pauses
+        # Requests are refused with this Retry-After while it is set.
+        self.pause_s: float | None = None
         self.rate_limit: float | None = None
         self.rng = random.Random(f'{seed} {server_id}')
         self.running = 0
@@ -93,13 +107,14 @@
             return status, fields | self._limit_fields(), body
         request_id = request.field(headers.REQUEST_ID.lower()) or ''
         now = time.monotonic()
-        self.arrivals.append(Arrival(self.server_id, now))
+        self.arrivals.append(Arrival(self.server_id, now, request_id))
+        if self.pause_s is not None:
+            self.pauses.append(
+                Pause(self.server_id, request_id, now, self.pause_s)
+            )
+            return self.refusal(request_id, retry_after=f'{self.pause_s:.2f}')
         if self.running >= SLOTS_PER_SERVER:
-            fields = {
-                headers.NOT_EXECUTED: '1',
-                headers.REQUEST_ID: request_id,
-            }
-            return 503, fields, b''
+            return self.refusal(request_id)
         is_after_departure = (
             self.departure_deadline is not None
             and now > self.departure_deadline
@@ -228,6 +243,7 @@
     def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
+        self.pauses: list[Pause] = []
         self.store = PlatformStore()
         self.store.page_items = 500
         zones = list(ZONES)
@@ -237,6 +253,7 @@
                 zone=zones[index % len(zones)],
                 runs=self.runs,
                 arrivals=self.arrivals,
+                pauses=self.pauses,
                 seed=seed,
             )
             for index in range(6)
