Show the era of the store

Cause: nothing shows that the store was restored from a copy.

Change: calls return the store's era beside the body, teaselrock_store_era is the highest one seen. The stand-in of the platform's store can be restored.

--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -128,6 +128,7 @@
             collector=RoutedCollector(
                 read_stats=lambda: self._instance.stats,
                 store_calls=lambda: self._store.calls,
+                store_era=lambda: self._store.era,
                 responses=self._response_memory,
             ),
         )
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -20,7 +20,8 @@
 class RoutedCollector(Collector):
     """Gauges and counters from one read of the statistics.
 
-    `store_calls` returns the number of calls to the store by outcome.
+    `store_calls` returns the number of calls to the store by outcome,
+    `store_era` how often the store was restored.
     """
 
     def __init__(
@@ -28,10 +29,12 @@
         *,
         read_stats: Callable[[], RoutedStats],
         store_calls: Callable[[], Mapping[str, int]],
+        store_era: Callable[[], int],
         responses: ResponseMemory,
     ) -> None:
         self._read_stats = read_stats
         self._store_calls = store_calls
+        self._store_era = store_era
         self._responses = responses
 
     def collect(self) -> Iterator[Metric]:
@@ -147,6 +150,11 @@
                 for name, budget in stats.retry_budgets.items()
             },
         )
+        yield GaugeMetricFamily(
+            'teaselrock_store_era',
+            'Highest era of the store that this instance has seen.',
+            self._store_era(),
+        )
         yield _with_samples(
             CounterMetricFamily(
                 'teaselrock_store_calls',
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -13,6 +13,7 @@
 from typing import Any
 from typing import Final
 from typing import Generic
+from typing import NamedTuple
 from typing import TypeVar
 from urllib.parse import quote
 from urllib.parse import urlencode
@@ -52,6 +53,9 @@
 WAIT_MARGIN_S: Final = 0.4
 MAX_WAIT_MS: Final = 30_000
 MAX_IDLE_CONNECTIONS: Final = 2
+# Number of times that the store was restored from a copy, in all responses.
+ERA: Final = 'store-era'
+MAX_ERA_DIGITS: Final = 15
 # Kinds of objects. The platform defines all but the last one.
 TABLES: Final = 'config'
 SERVERS: Final = 'servers'
@@ -68,6 +72,17 @@
 }
 
 
+class StoreReply(NamedTuple):
+    """Decoded body of a 2xx response, and the store's era.
+
+    The era rises each time the store is restored from an older copy; 0 if the
+    store states none.
+    """
+
+    body: Any
+    era: int
+
+
 class _PlainHttpDialect:
     """`BackendDialect` without fields beyond plain HTTP, for the store."""
 
@@ -124,6 +139,12 @@
             idle_limit=FixedIdleLimit(count=MAX_IDLE_CONNECTIONS),
         )
         self._calls: Counter[str] = Counter()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Highest era that the store has stated, 0 before."""
+        return self._era
 
     @property
     def calls(self) -> Mapping[str, int]:
@@ -138,12 +159,14 @@
         query: dict[str, str | int] | None = None,
         body: Any = None,
         timeout: float = CALL_TIMEOUT_S,
-    ) -> Result[Any, StoreError]:
-        """Make one call; returns the decoded body of a 2xx response.
+    ) -> Result[StoreReply, StoreError]:
+        """Make one call; fails unless the response has a 2xx status.
 
         `timeout` is in seconds.
         """
         result = await self._call(method, path, query, body, timeout)
+        if result.is_ok():
+            self._era = max(self._era, result.ok.era)
         self._calls[
             result.error.kind.value if result.is_error() else 'ok'
         ] += 1
@@ -156,7 +179,7 @@
         query: dict[str, str | int] | None,
         body: Any,
         timeout: float,
-    ) -> Result[Any, StoreError]:
+    ) -> Result[StoreReply, StoreError]:
         target = path if not query else f'{path}?{urlencode(query)}'
         content = RequestContent(
             method,
@@ -179,7 +202,9 @@
                 )
             )
         try:
-            return Ok(msgspec.json.decode(response.body))
+            return Ok(
+                StoreReply(msgspec.json.decode(response.body), _era(response))
+            )
         except msgspec.DecodeError as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
@@ -254,7 +279,7 @@
             )
             if result.is_error():
                 return Error(result.error)
-            page = result.ok
+            page = result.ok.body
             try:
                 page_entries = [
                     self._entry(item, False) for item in page['items']
@@ -283,7 +308,7 @@
         )
         if result.is_error():
             return Error(result.error)
-        page = result.ok
+        page = result.ok.body
         try:
             entries = tuple(
                 self._entry(event['object'], bool(event.get('deleted')))
@@ -357,6 +382,20 @@
         )
 
 
+def _era(response: BackendResponse) -> int:
+    """Era that a response states; 0 if it states none."""
+    for name, value in response.headers:
+        text = value.strip()
+        if (
+            name.lower() == ERA
+            and text.isascii()
+            and text.isdigit()
+            and len(text) <= MAX_ERA_DIGITS
+        ):
+            return int(text)
+    return 0
+
+
 def _malformed_response(error: Exception) -> StoreError:
     return StoreError(
         StoreErrorKind.UNKNOWN, f'malformed response of the store: {error!r}'
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -88,6 +88,7 @@
         RoutedCollector(
             read_stats=lambda: stats,
             store_calls=dict,
+            store_era=lambda: 0,
             responses=ResponseMemory(),
         )
     )
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import json
 from typing import Any
+from typing import NamedTuple
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
@@ -62,6 +63,14 @@
             writer.close()
 
 
+class StoreCopy(NamedTuple):
+    """Content of a store at one moment."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+    revision: int
+
+
 class PlatformStore:
     """Store of objects by kind and name, with long polling for changes."""
 
@@ -70,6 +79,7 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.revision = 1
         self.first_revision = 0
+        self.era = 1
         self.changed = asyncio.Event()
         self.forced_status: int | None = None
         self.drops_connections = False
@@ -83,6 +93,18 @@
     def delete(self, kind: str, name: str) -> None:
         self._append(kind, name, None, True)
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(dict(self.objects), list(self.history), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: later writes are lost, waiting calls are cut."""
+        self.objects = dict(copy.objects)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.era += 1
+        for writer in tuple(self.http.writers):
+            writer.close()
+
     def _append(self, kind: str, name: str, spec: Any, deleted: bool) -> None:
         self.revision += 1
         stored = {
@@ -98,6 +120,13 @@
         self.changed = asyncio.Event()
 
     async def _handle(self, request: CallerRequest) -> Response | None:
+        response = await self._respond(request)
+        if response is None:
+            return None
+        status, fields, body = response
+        return status, {**fields, 'Store-Era': str(self.era)}, body
+
+    async def _respond(self, request: CallerRequest) -> Response | None:
         self.calls.append(f'{request.method} {request.target}')
         if self.drops_connections:
             return None
@@ -136,7 +165,7 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> Response:
         after = int(query['watch'])
-        if after < self.first_revision:
+        if not self.first_revision <= after <= self.revision:
             return _json_response(410, {})
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(query['wait_ms']) / 1000
