--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gateway_world import BUILD
 from gateway_world import ROUTE
 from gateway_world import routes_spec
 from gateway_world import Run
@@ -229,6 +230,41 @@
     run(scenario)
 
 
+async def _lose_some_writes(world: World) -> None:
+    """Restore the store from a copy that lacks a version and other writes."""
+    copy = world.store.copy()
+    world.store.put('config', 'main', routes_spec('0000000b', ROUTE, BUILD))
+    for seq in range(5):
+        world.store.put('servers', 'i-1', world.servers[0].entry(seq=seq))
+    await asyncio.sleep(0.5)
+    world.store.restore(copy)
+    world.store.calls.clear()
+
+
+def test_change_after_a_restored_store_is_in_force(run: Run) -> None:
+    """Guards against changes that are ignored for their lower revisions."""
+
+    async def scenario(world: World) -> None:
+        await _lose_some_writes(world)
+        added = {**ROUTE, 'name': 'added', 'path_prefix': '/added/'}
+        world.store.put('config', 'main', routes_spec('0000000c', added))
+        await asyncio.sleep(2.0)
+        assert (await world.send_request('/added/1'))[0] == 200
+
+    run(scenario)
+
+
+def test_restored_store_gets_few_calls(run: Run) -> None:
+    """Guards against calls without a pause after a restore."""
+
+    async def scenario(world: World) -> None:
+        await _lose_some_writes(world)
+        await asyncio.sleep(2.0)
+        assert len(world.store.calls) < 30
+
+    run(scenario)
+
+
 def test_address_reused_by_another_server(run: Run) -> None:
     """Guards against requests to another server at a reused address.
 
