Order the history of the store by era and revision

Cause: a mirror took a listing with a lower revision for an outdated one. Class: a counter that can go back was used as a point in time. The relay had the same fault.

Change: StorePosition is the pair of era and revision, for listings, mirrors and relay messages. A listing that leads to another one waits.

--- a/src/teaselrock/coordination/ports/__init__.py
+++ b/src/teaselrock/coordination/ports/__init__.py
@@ -38,6 +38,7 @@
 from teaselrock.coordination.ports.registry import ObjectSource
 from teaselrock.coordination.ports.registry import RelayChannel
 from teaselrock.coordination.ports.registry import RelayLink
+from teaselrock.coordination.ports.registry import StorePosition
 
 __all__ = (
     'Admission',
@@ -73,5 +74,6 @@
     'Store',
     'StoreError',
     'StoreErrorKind',
+    'StorePosition',
     'StoredValue',
 )
--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -26,11 +26,22 @@
     is_deleted: bool = False
 
 
+class StorePosition(NamedTuple):
+    """Point in the history of the store; positions are ordered.
+
+    A store that is restored from an older copy begins a new `era`, in which
+    revisions that were given out before are given out again.
+    """
+
+    era: int
+    revision: int
+
+
 class ObjectListing(NamedTuple, Generic[T]):
-    """Objects of a kind, all or those changed, up to a store revision."""
+    """Objects of a kind, all or those changed, up to a store position."""
 
     entries: tuple[ObjectEntry[T], ...]
-    revision: int
+    position: StorePosition
 
 
 class ObjectSource(Protocol[T]):
@@ -41,11 +52,12 @@
         ...
 
     async def wait_for_changes(
-        self, *, after: int, wait: float
+        self, *, after: StorePosition, wait: float
     ) -> Result[ObjectListing[T], StoreError]:
-        """Wait up to `wait` seconds for changes after revision `after`.
+        """Wait up to `wait` seconds for changes after a position.
 
-        After `HISTORY_LOST` the objects have to be listed again.
+        After `HISTORY_LOST`, or if the position of the result is in another
+        era, the objects have to be listed again.
         """
         ...
 
--- a/src/teaselrock/coordination/registry/messages.py
+++ b/src/teaselrock/coordination/registry/messages.py
@@ -1,30 +1,31 @@
 """Messages by which a watching instance relays changes to its followers.
 
-`revisions` are those of the sender's mirrors of the routing table, the
-servers and the zones out of service; `mirror.NO_REVISION` means that a mirror
-is empty. A change leads from revision `after` to `revision`; `names` and
+`positions` are those of the sender's mirrors of the routing table, the
+servers and the zones out of service; `mirror.NO_POSITION` means that a mirror
+is empty. A change leads from position `after` to `position`; `names` and
 `values` are the objects written, `deleted` the names of those deleted.
 """
 
 from typing import NamedTuple
 
+from teaselrock.coordination.ports import StorePosition
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
 
 
-class Revisions(NamedTuple):
-    """Revisions of the three mirrors."""
+class MirrorPositions(NamedTuple):
+    """Positions of the three mirrors."""
 
-    tables: int
-    servers: int
-    zones_out: int
+    tables: StorePosition
+    servers: StorePosition
+    zones_out: StorePosition
 
 
 class FollowRequest(NamedTuple):
-    """Requests all changes after `revisions`, until the connection ends."""
+    """Requests all changes after `positions`, until the connection ends."""
 
     instance_id: str
-    revisions: Revisions
+    positions: MirrorPositions
 
 
 class WatchHeartbeat(NamedTuple):
@@ -35,14 +36,14 @@
 
     instance_id: str
     is_connected: bool
-    revisions: Revisions
+    positions: MirrorPositions
 
 
 class TablesChanged(NamedTuple):
     """A change of the routing table; a value of `None` is unreadable."""
 
-    after: int
-    revision: int
+    after: StorePosition
+    position: StorePosition
     names: tuple[str, ...]
     values: tuple[RoutingTable | None, ...]
     deleted: tuple[str, ...]
@@ -51,8 +52,8 @@
 class ServersChanged(NamedTuple):
     """A change of the backend servers; a value of `None` is unreadable."""
 
-    after: int
-    revision: int
+    after: StorePosition
+    position: StorePosition
     names: tuple[str, ...]
     values: tuple[BackendServer | None, ...]
     deleted: tuple[str, ...]
@@ -61,8 +62,8 @@
 class ZonesChanged(NamedTuple):
     """A change of the zones out of service; `None` is unreadable."""
 
-    after: int
-    revision: int
+    after: StorePosition
+    position: StorePosition
     names: tuple[str, ...]
     values: tuple[str | None, ...]
     deleted: tuple[str, ...]
--- a/src/teaselrock/coordination/registry/mirror.py
+++ b/src/teaselrock/coordination/registry/mirror.py
@@ -1,4 +1,4 @@
-"""Local mirror of the store's objects of one kind, at one revision.
+"""Local mirror of the store's objects of one kind, at one position.
 
 `watch` and `relay` apply changes to it. It keeps recent changes, so that an
 instance that follows this one is sent only the changes that it lacks.
@@ -13,28 +13,29 @@
 
 from teaselrock.coordination.ports import ObjectEntry
 from teaselrock.coordination.ports import ObjectListing
+from teaselrock.coordination.ports import StorePosition
 
 T = TypeVar('T')
 
 # Changes kept; a follower that lacks more of them is sent a full snapshot.
 MAX_KEPT_CHANGES: Final = 64
-# Revision before the first listing, and `after` of a full snapshot.
-NO_REVISION: Final = -1
+# Position before the first listing, and `after` of a full snapshot.
+NO_POSITION: Final = StorePosition(-1, -1)
 
 
 class Change(NamedTuple, Generic[T]):
-    """Change from revision `after` to that of the listing.
+    """Change from position `after` to that of the listing.
 
-    With `after` at `NO_REVISION` the listing is a full snapshot.
+    With `after` at `NO_POSITION` the listing is a full snapshot.
     """
 
-    after: int
+    after: StorePosition
     listing: ObjectListing[T]
 
     @property
     def is_snapshot(self) -> bool:
         """Whether objects that are not listed do not exist."""
-        return self.after == NO_REVISION
+        return self.after == NO_POSITION
 
 
 class Mirror(Generic[T]):
@@ -43,30 +44,34 @@
     def __init__(self, *, on_change: Callable[[Change[T]], None]) -> None:
         self._on_change = on_change
         self._entries: dict[str, ObjectEntry[T]] = {}
-        self._revision = NO_REVISION
+        self._position = NO_POSITION
         self._changes: deque[Change[T]] = deque(maxlen=MAX_KEPT_CHANGES)
 
     @property
-    def revision(self) -> int:
-        """Revision of the mirror, `NO_REVISION` before the first listing."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Position of the mirror, `NO_POSITION` before the first listing."""
+        return self._position
 
     def apply(self, change: Change[T]) -> bool:
         """Apply a change; False if an earlier change is missing.
 
-        Changes up to the current revision have no effect and return True.
+        Changes up to the current position have no effect and return True. A
+        new era begins with a snapshot, since changes of an earlier one may be
+        lost.
         """
-        revision = change.listing.revision
-        if revision <= self._revision:
+        position = change.listing.position
+        if position <= self._position:
             return True
-        if not change.is_snapshot and change.after > self._revision:
+        if not change.is_snapshot and (
+            change.after > self._position or position.era != self._position.era
+        ):
             return False
         if change.is_snapshot:
             self._entries.clear()
             self._changes.clear()
         else:
             self._changes.append(change)
-        self._revision = revision
+        self._position = position
         for entry in change.listing.entries:
             if entry.is_deleted:
                 self._entries.pop(entry.name, None)
@@ -75,15 +80,15 @@
         self._on_change(change)
         return True
 
-    def since(self, revision: int) -> list[Change[T]]:
-        """Changes after `revision`, or a snapshot if they are not all kept."""
-        if revision == self._revision:
+    def since(self, position: StorePosition) -> list[Change[T]]:
+        """Changes after `position`, or a snapshot if they are not all kept."""
+        if position == self._position:
             return []
         changes: list[Change[T]] = []
         for change in self._changes:
-            if changes or change.after <= revision < change.listing.revision:
+            if changes or change.after <= position < change.listing.position:
                 changes.append(change)
         if changes:
             return changes
         entries = tuple(self._entries.values())
-        return [Change(NO_REVISION, ObjectListing(entries, self._revision))]
+        return [Change(NO_POSITION, ObjectListing(entries, self._position))]
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -23,8 +23,9 @@
 from teaselrock.coordination.ports import ObjectListing
 from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.ports import RelayLink
+from teaselrock.coordination.ports import StorePosition
 from teaselrock.coordination.registry.messages import FollowRequest
-from teaselrock.coordination.registry.messages import Revisions
+from teaselrock.coordination.registry.messages import MirrorPositions
 from teaselrock.coordination.registry.messages import ServersChanged
 from teaselrock.coordination.registry.messages import TablesChanged
 from teaselrock.coordination.registry.messages import WatchHeartbeat
@@ -87,9 +88,11 @@
 class _Follower:
     """Connection of an instance that follows this one."""
 
-    def __init__(self, *, channel: RelayChannel, revisions: Revisions) -> None:
+    def __init__(
+        self, *, channel: RelayChannel, positions: MirrorPositions
+    ) -> None:
         self.channel = channel
-        self.revisions = revisions
+        self.positions = positions
         self.heartbeat_at = float('-inf')
 
 
@@ -296,7 +299,7 @@
         return RECONNECT_DELAY_S
 
     def _request_changes(self, channel: RelayChannel) -> None:
-        channel.send(FollowRequest(self._own.instance_id, self._revisions()))
+        channel.send(FollowRequest(self._own.instance_id, self._positions()))
 
     def _apply(self, message: _ChangeMessage) -> bool:
         """Apply a change; False if an earlier change is missing."""
@@ -317,14 +320,14 @@
     async def _serve_follower(
         self, channel: RelayChannel, first: FollowRequest
     ) -> None:
-        follower = _Follower(channel=channel, revisions=first.revisions)
+        follower = _Follower(channel=channel, positions=first.positions)
         self._followers.add(follower)
         try:
             while True:
                 message = await channel.receive()
                 if not isinstance(message, FollowRequest):
                     return
-                follower.revisions = message.revisions
+                follower.positions = message.positions
         finally:
             self._followers.discard(follower)
 
@@ -333,14 +336,14 @@
         if not self._watch.is_running:
             return
         now = asyncio.get_running_loop().time()
-        revisions = self._revisions()
+        positions = self._positions()
         heartbeat = WatchHeartbeat(
-            self._own.instance_id, self._watch.is_connected, revisions
+            self._own.instance_id, self._watch.is_connected, positions
         )
         for follower in tuple(self._followers):
-            if follower.revisions != revisions:
+            if follower.positions != positions:
                 self._send_changes(follower)
-                follower.revisions = revisions
+                follower.positions = positions
             if (
                 now - follower.heartbeat_at
                 >= HEARTBEAT_INTERVAL_S - TICK_INTERVAL_S / 2
@@ -349,7 +352,7 @@
                 follower.channel.send(heartbeat)
 
     def _send_changes(self, follower: _Follower) -> None:
-        sent = follower.revisions
+        sent = follower.positions
         _send_since(
             follower.channel, self._sync.tables, sent.tables, TablesChanged
         )
@@ -366,11 +369,11 @@
             ZonesChanged,
         )
 
-    def _revisions(self) -> Revisions:
-        return Revisions(
-            self._sync.tables.revision,
-            self._sync.servers.revision,
-            self._sync.zones_out.revision,
+    def _positions(self) -> MirrorPositions:
+        return MirrorPositions(
+            self._sync.tables.position,
+            self._sync.servers.position,
+            self._sync.zones_out.position,
         )
 
 
@@ -396,18 +399,18 @@
 def _send_since(
     channel: RelayChannel,
     mirror: Mirror[Any],
-    revision: int,
+    position: StorePosition,
     message_type: Callable[..., NamedTuple],
 ) -> None:
-    if mirror.revision <= revision:
+    if mirror.position <= position:
         return
-    for change in mirror.since(revision):
+    for change in mirror.since(position):
         entries = change.listing.entries
         kept = [entry for entry in entries if not entry.is_deleted]
         channel.send(
             message_type(
                 change.after,
-                change.listing.revision,
+                change.listing.position,
                 tuple(entry.name for entry in kept),
                 tuple(entry.value for entry in kept),
                 tuple(entry.name for entry in entries if entry.is_deleted),
@@ -424,5 +427,5 @@
         ObjectEntry(name, None, True) for name in message.deleted
     ]
     return Change(
-        message.after, ObjectListing((*kept, *deleted), message.revision)
+        message.after, ObjectListing((*kept, *deleted), message.position)
     )
--- a/src/teaselrock/coordination/registry/watch.py
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -17,7 +17,7 @@
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.registry.mirror import Change
 from teaselrock.coordination.registry.mirror import Mirror
-from teaselrock.coordination.registry.mirror import NO_REVISION
+from teaselrock.coordination.registry.mirror import NO_POSITION
 
 T = TypeVar('T')
 
@@ -120,6 +120,7 @@
         self._rng = rng
         self._wait = wait
         self._needs_listing = False
+        self._has_just_listed = False
 
     async def run(self) -> None:
         """Poll until cancelled, at first with a short wait."""
@@ -140,10 +141,13 @@
 
     async def _poll(self, wait: float) -> bool:
         """Make one call to the store; False if it failed."""
-        after = self._mirror.revision
-        if after == NO_REVISION or self._needs_listing:
+        after = self._mirror.position
+        if after == NO_POSITION or self._needs_listing:
+            if self._has_just_listed:
+                # A listing that does not help must not be repeated at once.
+                await asyncio.sleep(RETRY_MIN_S)
             result = await self._source.list_all()
-            after = NO_REVISION
+            after = NO_POSITION
         else:
             result = await self._source.wait_for_changes(
                 after=after, wait=wait
@@ -157,9 +161,10 @@
             )
             return False
         self._connectivity.record_success(kind=self._name)
-        self._needs_listing = False
-        self._mirror.apply(Change(after, result.ok))
-        if result.ok.entries and after != NO_REVISION:
+        is_listing = after == NO_POSITION
+        self._has_just_listed = is_listing
+        self._needs_listing = not self._mirror.apply(Change(after, result.ok))
+        if result.ok.entries and not is_listing:
             await asyncio.sleep(BATCH_DELAY_S)
         return True
 
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -32,6 +32,7 @@
 from teaselrock.coordination.ports import ObjectListing
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.coordination.ports import StorePosition
 from teaselrock.platform import documents
 from teaselrock.platform.values import MALFORMED_ERRORS
 from teaselrock.protocol import fields
@@ -270,6 +271,7 @@
         current read.
         """
         entries: list[ObjectEntry[T]] = []
+        era: int | None = None
         query: dict[str, str | int] = {}
         if allow_stale:
             query['serializable'] = 1
@@ -284,24 +286,34 @@
                 page_entries = [
                     self._entry(item, False) for item in page['items']
                 ]
-                revision = int(page['store_revision'])
+                position = StorePosition(
+                    result.ok.era, int(page['store_revision'])
+                )
                 has_more = bool(page.get('has_more'))
             except MALFORMED_ERRORS as error:
                 return Error(_malformed_response(error))
+            if era not in (None, position.era):
+                return Error(
+                    StoreError(
+                        StoreErrorKind.HISTORY_LOST,
+                        'the store was restored between two pages',
+                    )
+                )
+            era = position.era
             entries += page_entries
             if not has_more or not page_entries:
-                return Ok(ObjectListing(tuple(entries), revision))
+                return Ok(ObjectListing(tuple(entries), position))
             query['after'] = page_entries[-1].name
 
     async def wait_for_changes(
-        self, *, after: int, wait: float
+        self, *, after: StorePosition, wait: float
     ) -> Result[ObjectListing[T], StoreError]:
-        """Wait up to `wait` seconds for changes after a revision."""
+        """Wait up to `wait` seconds for changes after a position."""
         result = await self._client.call(
             method='GET',
             path=self._path,
             query={
-                'watch': after,
+                'watch': after.revision,
                 'wait_ms': min(MAX_WAIT_MS, int(wait * 1000)),
             },
             timeout=wait + WAIT_MARGIN_S,
@@ -314,7 +326,10 @@
                 self._entry(event['object'], bool(event.get('deleted')))
                 for event in page['events']
             )
-            return Ok(ObjectListing(entries, int(page['store_revision'])))
+            position = StorePosition(
+                result.ok.era, int(page['store_revision'])
+            )
+            return Ok(ObjectListing(entries, position))
         except MALFORMED_ERRORS as error:
             return Error(_malformed_response(error))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from teaselrock.coordination.events import NoEvents
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.coordination.ports import StorePosition
 from teaselrock.platform.documents import decode_zone_out
 from teaselrock.platform.store import StoreClient
 from teaselrock.platform.store import StoredInstanceRegistry
@@ -48,7 +49,7 @@
             store.put('zones', name, {})
         listed = await _zone_source(client).list_all()
         assert [entry.name for entry in listed.ok.entries] == list('abcde')
-        assert listed.ok.revision == store.revision
+        assert listed.ok.position == StorePosition(1, store.revision)
 
     _run(scenario)
 
@@ -64,21 +65,27 @@
         source = _zone_source(client)
         store.put('zones', 'a', {})
         store.delete('zones', 'a')
-        changes = await source.wait_for_changes(after=1, wait=1.0)
+        changes = await source.wait_for_changes(
+            after=StorePosition(1, 1), wait=1.0
+        )
         assert [entry.is_deleted for entry in changes.ok.entries] == [
             False,
             True,
         ]
         waiting = asyncio.create_task(
-            source.wait_for_changes(after=3, wait=5.0)
+            source.wait_for_changes(after=StorePosition(1, 3), wait=5.0)
         )
         await asyncio.sleep(0.05)
         store.put('zones', 'b', {})
         assert [entry.name for entry in (await waiting).ok.entries] == ['b']
-        empty = await source.wait_for_changes(after=4, wait=0.01)
+        empty = await source.wait_for_changes(
+            after=StorePosition(1, 4), wait=0.01
+        )
         assert empty.ok.entries == ()
         store.first_revision = 4
-        lost = await source.wait_for_changes(after=2, wait=0.01)
+        lost = await source.wait_for_changes(
+            after=StorePosition(1, 2), wait=0.01
+        )
         assert lost.error.kind is StoreErrorKind.HISTORY_LOST
 
     _run(scenario)
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -17,6 +17,7 @@
 from teaselrock.coordination.ports import ObjectListing
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.coordination.ports import StorePosition
 from teaselrock.coordination.registry import InstallationSync
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.coordination.registry import KindWatch
@@ -61,6 +62,14 @@
     return RoutingTable(version, (route,), services)
 
 
+class SourceCopy(NamedTuple):
+    """Objects of one kind at one moment."""
+
+    entries: dict[str, ObjectEntry[Any]]
+    log: list[tuple[int, ObjectEntry[Any]]]
+    revision: int
+
+
 class MemoryObjectSource:
     """`ObjectSource` of one kind with scripted faults of the store."""
 
@@ -68,6 +77,7 @@
         self.entries: dict[str, ObjectEntry[Any]] = {}
         self.log: list[tuple[int, ObjectEntry[Any]]] = []
         self.revision = 1
+        self.era = 1
         self.first_revision = 0
         self.call_count = 0
         self.changed = asyncio.Event()
@@ -81,6 +91,22 @@
     def delete(self, name: str) -> None:
         self._append(ObjectEntry(name, None, True))
 
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(self.era, self.revision)
+
+    def copy(self) -> SourceCopy:
+        return SourceCopy(dict(self.entries), list(self.log), self.revision)
+
+    def restore(self, copy: SourceCopy) -> None:
+        """Return to a copy; changes since then are lost."""
+        self.entries = dict(copy.entries)
+        self.log = list(copy.log)
+        self.revision = copy.revision
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def drop_history(self) -> None:
         self.first_revision = self.revision
         self.log.clear()
@@ -89,29 +115,29 @@
         error = await self._call(1.0)
         if error is not None:
             return Error(error)
-        return Ok(ObjectListing(tuple(self.entries.values()), self.revision))
+        return Ok(ObjectListing(tuple(self.entries.values()), self.position))
 
     async def wait_for_changes(
-        self, *, after: int, wait: float
+        self, *, after: StorePosition, wait: float
     ) -> Result[ObjectListing[Any], StoreError]:
         error = await self._call(wait + 0.6)
         if error is not None:
             return Error(error)
-        if after < self.first_revision:
+        if not self.first_revision <= after.revision <= self.revision:
             return Error(StoreError(StoreErrorKind.HISTORY_LOST, 'no history'))
-        if self.revision <= after:
+        if self.revision == after.revision:
             changed = self.changed
             try:
                 await asyncio.wait_for(changed.wait(), wait)
             except TimeoutError:
-                return Ok(ObjectListing((), self.revision))
+                return Ok(ObjectListing((), self.position))
             if self.is_unresponsive:
                 await asyncio.sleep(0.6)
                 return Error(_no_response())
         changes = tuple(
-            entry for revision, entry in self.log if revision > after
+            entry for revision, entry in self.log if revision > after.revision
         )
-        return Ok(ObjectListing(changes, self.revision))
+        return Ok(ObjectListing(changes, self.position))
 
     async def _call(self, timeout: float) -> StoreError | None:
         self.call_count += 1
@@ -290,7 +316,7 @@
         return await self._source.list_all()
 
     async def wait_for_changes(
-        self, *, after: int, wait: float
+        self, *, after: StorePosition, wait: float
     ) -> Result[ObjectListing[Any], StoreError]:
         if self._instance_id in self._refused_instance_ids:
             return Error(await self._refuse(wait + 0.4))
--- a/tests/registry/test_region_relay.py
+++ b/tests/registry/test_region_relay.py
@@ -393,3 +393,65 @@
     assert slow_ranks[0] <= CHANGE_IN_FORCE_S
     assert slow_ranks[1] - slow_ranks[0] >= 3.0
     assert slow_ranks[2] - slow_ranks[1] >= 3.0
+
+
+def test_changes_of_a_restored_store_reach_all_instances() -> None:
+    """Guards against changes that are ignored for their lower revisions.
+
+    The copy lacks a version and a server, and revisions are given out again.
+    """
+
+    async def main() -> None:
+        region = Region(4)
+        await region.start()
+        tables, servers, _ = region.sources
+        copies = [source.copy() for source in region.sources]
+        for version in range(2, 8):
+            tables.put('main', routing_table(version))
+        servers.put('s2', backend_server('s2'))
+        await asyncio.sleep(1.0)
+        for source, copy in zip(region.sources, copies):
+            source.restore(copy)
+        await asyncio.sleep(1.0)
+        calls = region.call_count
+        tables.put('main', routing_table(8))
+        servers.put('s3', backend_server('s3'))
+        await asyncio.sleep(2.5)
+        assert {member.view.table.version for member in region.members} == {8}
+        assert all('s3' in member.server_ids() for member in region.members)
+        assert region.call_count - calls < 15
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('missed', [0, 3, 40])
+def test_watch_does_not_continue_in_another_era(missed: int) -> None:
+    """Guards against changes before the watched revision of a new era.
+
+    The restored store has given out again `missed` more revisions than the
+    mirror knows, so that the watch is accepted.
+    """
+
+    async def main() -> None:
+        region = Region(1)
+        await region.start()
+        source = region.sources[1]
+        copy = source.copy()
+        for _ in range(4):
+            source.put('s1', backend_server('s1'))
+        await asyncio.sleep(1.0)
+        region.refused_instance_ids.add('i0')
+        await asyncio.sleep(3.0)
+        for other, old in zip(
+            region.sources,
+            (region.sources[0].copy(), copy, region.sources[2].copy()),
+        ):
+            other.restore(old)
+        source.put('s2', backend_server('s2'))
+        for _ in range(3 + missed):
+            source.put('s1', backend_server('s1'))
+        region.refused_instance_ids.clear()
+        await asyncio.sleep(3.0)
+        assert region.members[0].server_ids() == {'s1', 's2'}
+
+    run_paused(main())
