--- a/src/teaselrock/coordination/registry/mirror.py
+++ b/src/teaselrock/coordination/registry/mirror.py
@@ -38,11 +38,25 @@
         return self.after == NO_POSITION
 
 
+def _value_read(known: T | None, read: T | None) -> T | None:
+    return read
+
+
 class Mirror(Generic[T]):
-    """Objects of one kind; `on_change` is called with each applied change."""
+    """Objects of one kind; `on_change` is called with each applied change.
+
+    `newer` chooses between the known value of an object and the one that was
+    read. Objects that were deleted have no known value.
+    """
 
-    def __init__(self, *, on_change: Callable[[Change[T]], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_change: Callable[[Change[T]], None],
+        newer: Callable[[T | None, T | None], T | None] = _value_read,
+    ) -> None:
         self._on_change = on_change
+        self._newer = newer
         self._entries: dict[str, ObjectEntry[T]] = {}
         self._position = NO_POSITION
         self._changes: deque[Change[T]] = deque(maxlen=MAX_KEPT_CHANGES)
@@ -52,6 +66,10 @@
         """Position of the mirror, `NO_POSITION` before the first listing."""
         return self._position
 
+    def entry(self, name: str) -> ObjectEntry[T] | None:
+        """The object with this name, None if there is none."""
+        return self._entries.get(name)
+
     def apply(self, change: Change[T]) -> bool:
         """Apply a change; False if an earlier change is missing.
 
@@ -66,6 +84,7 @@
             change.after > self._position or position.era != self._position.era
         ):
             return False
+        change = self._with_newer_values(change)
         if change.is_snapshot:
             self._entries.clear()
             self._changes.clear()
@@ -80,6 +99,20 @@
         self._on_change(change)
         return True
 
+    def _with_newer_values(self, change: Change[T]) -> Change[T]:
+        """The change with known values in place of older ones."""
+        entries = tuple(
+            entry
+            if entry.is_deleted or entry.name not in self._entries
+            else entry._replace(
+                value=self._newer(self._entries[entry.name].value, entry.value)
+            )
+            for entry in change.listing.entries
+        )
+        return change._replace(
+            listing=change.listing._replace(entries=entries)
+        )
+
     def since(self, position: StorePosition) -> list[Change[T]]:
         """Changes after `position`, or a snapshot if they are not all kept."""
         if position == self._position:
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -43,6 +43,7 @@
     Event.SERVER_PAUSES: 50,
     Event.STORE_LOST: 5,
     Event.STORE_REGAINED: 5,
+    Event.STORE_RESTORED: 5,
 }
 # Fields are names, counts and error details of this system; a longer text is
 # cut.
@@ -69,6 +70,7 @@
         Event.STORE_LOST,
         Event.OBJECT_UNREADABLE,
         Event.CHECK_FAILED,
+        Event.STORE_RESTORED,
     ),
     logging.WARNING,
 )
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import random
 from typing import Any
 from typing import NamedTuple
@@ -41,8 +42,12 @@
 CODEC = MessageCodec(kinds=RELAY_KINDS)
 
 
-def backend_server(name: str, *, is_draining: bool = False) -> BackendServer:
-    return BackendServer(name, 'desk', ZONE, '127.0.0.1:1', 3, is_draining)
+def backend_server(
+    name: str, *, is_draining: bool = False, started_at: int = 0
+) -> BackendServer:
+    return BackendServer(
+        name, 'desk', ZONE, '127.0.0.1:1', 3, is_draining, started_at
+    )
 
 
 def routing_table(version: int) -> RoutingTable:
@@ -371,6 +376,16 @@
     def watchers(self) -> list[Member]:
         return [member for member in self.members if member.watch.is_running]
 
+    async def add_member(
+        self, name: str, roster: Sequence[InstanceRegistration]
+    ) -> Member:
+        """Start an instance that knows the others from the registry."""
+        member = Member(self, name)
+        await member.relay.start()
+        member.relay.set_roster([*roster, member.registration])
+        self.members.append(member)
+        return member
+
     async def kill(self, member: Member) -> None:
         await member.relay.stop()
         self.members.remove(member)
--- a/tests/registry/test_region_relay.py
+++ b/tests/registry/test_region_relay.py
@@ -7,6 +7,7 @@
 from registry_world import Member
 from registry_world import Region
 from registry_world import routing_table
+from registry_world import SourceCopy
 
 from teaselrock.coordination import rendezvous
 from teaselrock.coordination.registry.relay import watch_takeover_delay
@@ -455,3 +456,164 @@
         assert region.members[0].server_ids() == {'s1', 's2'}
 
     run_paused(main())
+
+
+def _restore(region: Region, copies: list[SourceCopy]) -> None:
+    for source, copy in zip(region.sources, copies):
+        source.restore(copy)
+
+
+def test_draining_server_of_a_restored_store_stays_out() -> None:
+    """Guards against requests to a server that the copy shows as ready.
+
+    Its process has begun to drain after the copy.
+    """
+
+    async def main() -> None:
+        region = Region(3)
+        await region.start()
+        source = region.sources[1]
+        copies = [source.copy() for source in region.sources]
+        source.put('s1', backend_server('s1', is_draining=True))
+        await asyncio.sleep(1.0)
+        assert _all_have(region, set())
+        _restore(region, copies)
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            assert _all_have(region, set())
+        source.put('s1', backend_server('s1', started_at=5))
+        await asyncio.sleep(1.0)
+        assert _all_have(region, {'s1'})
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('is_running', [True, False])
+def test_departed_server_of_a_restored_store_is_not_used(
+    is_running: bool,
+) -> None:
+    """Guards against requests to a server that left after the copy.
+
+    The store removes its entry some seconds later, unless it still runs.
+    """
+
+    async def main() -> None:
+        region = Region(3)
+        await region.start()
+        source = region.sources[1]
+        copies = [source.copy() for source in region.sources]
+        source.delete('s1')
+        await asyncio.sleep(1.0)
+        _restore(region, copies)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert _all_have(region, set())
+        if not is_running:
+            source.delete('s1')
+        await asyncio.sleep(4.0)
+        assert _all_have(region, {'s1'} if is_running else set())
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('is_written_again', [True, False])
+def test_server_that_a_restored_store_lacks_is_kept_for_a_while(
+    is_written_again: bool,
+) -> None:
+    """Guards against refused requests while servers register again."""
+
+    async def main() -> None:
+        region = Region(3)
+        await region.start()
+        source = region.sources[1]
+        copies = [source.copy() for source in region.sources]
+        source.put('s2', backend_server('s2'))
+        await asyncio.sleep(1.0)
+        _restore(region, copies)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            assert _all_have(region, {'s1', 's2'})
+        if is_written_again:
+            source.put('s2', backend_server('s2'))
+        await asyncio.sleep(4.0)
+        assert _all_have(region, {'s1', 's2'} if is_written_again else {'s1'})
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('is_written_again', [True, False])
+def test_zone_that_a_restored_store_lacks_stays_out_for_a_while(
+    is_written_again: bool,
+) -> None:
+    """Guards against requests to a zone before it is taken out again."""
+
+    async def main() -> None:
+        region = Region(3)
+        await region.start()
+        zones = region.sources[2]
+        copies = [source.copy() for source in region.sources]
+        zones.put('east-a', 'east-a')
+        await asyncio.sleep(1.0)
+        _restore(region, copies)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            assert _all_have(region, set())
+        if is_written_again:
+            zones.put('east-a', 'east-a')
+        await asyncio.sleep(4.0)
+        assert _all_have(region, set() if is_written_again else {'s1'})
+        if is_written_again:
+            zones.delete('east-a')
+            await asyncio.sleep(1.0)
+            assert _all_have(region, {'s1'})
+
+    run_paused(main())
+
+
+def test_instance_that_starts_after_a_restore_gets_the_newest_routes() -> None:
+    """Guards against an older version at an instance that has just started."""
+
+    async def main() -> None:
+        region = Region(3)
+        await region.start()
+        copies = [source.copy() for source in region.sources]
+        region.sources[0].put('main', routing_table(2))
+        await asyncio.sleep(1.0)
+        _restore(region, copies)
+        await asyncio.sleep(2.0)
+        registrations = [member.registration for member in region.members]
+        started = await region.add_member('later', registrations)
+        await asyncio.sleep(2.0)
+        assert started.view.table.version == 2
+
+    run_paused(main())
+
+
+def test_changes_are_followed_through_two_restores() -> None:
+    """Guards against changes that are lost when one restore follows another.
+
+    The second copy is older than the first one.
+    """
+
+    async def main() -> None:
+        region = Region(4)
+        await region.start()
+        tables, servers, _ = region.sources
+        oldest = [source.copy() for source in region.sources]
+        tables.put('main', routing_table(2))
+        await asyncio.sleep(0.5)
+        old = [source.copy() for source in region.sources]
+        tables.put('main', routing_table(3))
+        servers.put('s2', backend_server('s2'))
+        await asyncio.sleep(0.5)
+        _restore(region, old)
+        await asyncio.sleep(0.3)
+        await region.kill(region.watchers()[0])
+        _restore(region, oldest)
+        servers.put('s2', backend_server('s2'))
+        tables.put('main', routing_table(4))
+        await asyncio.sleep(3.0)
+        assert {member.view.table.version for member in region.members} == {4}
+        assert _all_have(region, {'s1', 's2'})
+
+    run_paused(main())
