Do not delay the listing after a lost history

Cause, by reading: a 410 counted as neither success nor failure. After an outage the kind of object stayed marked as failing, so that its listing waited for another retry delay while it held the lock that the other kinds wait for: up to 0.8 s for each of three kinds.

Change: a 410 is an answer of the store; the listing follows at once.

--- a/src/teaselrock/coordination/registry/watch.py
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -154,6 +154,8 @@
             )
         if result.is_error():
             if result.error.kind is StoreErrorKind.HISTORY_LOST:
+                # The store has answered, so no retry delay is due.
+                self._connectivity.record_success(kind=self._name)
                 self._needs_listing = True
                 return True
             self._connectivity.record_failure(
