Register again after a restore of the store

Operators would see: an instance that had started after the copy is missing in the registry for good; others do not follow it, and lenders of permits differ between instances until all have restarted.

Cause: an instance wrote its registration once, and each read replaced the roster. Class: what only the system writes is not written again by anyone else.

The task has a module of its own, coordination/registration.py.

--- a/src/teaselrock/coordination/ports/__init__.py
+++ b/src/teaselrock/coordination/ports/__init__.py
@@ -31,6 +31,7 @@
 from teaselrock.coordination.ports.parts import ReportWriter
 from teaselrock.coordination.ports.parts import Slot
 from teaselrock.coordination.ports.parts import SlotSource
+from teaselrock.coordination.ports.registry import InstanceListing
 from teaselrock.coordination.ports.registry import InstanceRegistration
 from teaselrock.coordination.ports.registry import InstanceRegistry
 from teaselrock.coordination.ports.registry import ObjectEntry
@@ -53,6 +54,7 @@
     'DocumentError',
     'HedgePolicy',
     'IdempotencyRecords',
+    'InstanceListing',
     'InstanceRegistration',
     'InstanceRegistry',
     'MemberView',
--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -74,6 +74,13 @@
     address: str = ''
 
 
+class InstanceListing(NamedTuple):
+    """Registrations of all instances, as read in one era of the store."""
+
+    registrations: tuple[InstanceRegistration, ...]
+    era: int
+
+
 class InstanceRegistry(Protocol):
     """Registry of instances in the store."""
 
@@ -86,9 +93,7 @@
         """
         ...
 
-    async def read(
-        self,
-    ) -> Result[tuple[InstanceRegistration, ...], StoreError]:
+    async def read(self) -> Result[InstanceListing, StoreError]:
         """Read all registrations; the result may be seconds old."""
         ...
 
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -37,6 +37,7 @@
 from teaselrock.coordination.rate_permits import PermitCounts
 from teaselrock.coordination.rate_permits import PermitLender
 from teaselrock.coordination.rate_permits import RatePermits
+from teaselrock.coordination.registration import Registration
 from teaselrock.coordination.registry import InstallationSync
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.coordination.registry import KindWatch
@@ -58,15 +59,6 @@
 
 # Servers close idle connections after 10 s or less.
 PRUNE_INTERVAL_S: Final = 5.0
-# Registrations change only when instances are added, and reads are billed.
-ROSTER_READ_INTERVAL_S: Final = 15.0
-# Shorter at first: instances that start together register within seconds.
-ROSTER_STARTUP_PAUSES_S: Final = (0.7, 1.5, 4.0)
-# Largest deviation of these intervals, as a share.
-INTERVAL_JITTER: Final = 0.2
-# All instances have read a new entry by then.
-ENTRY_KNOWN_S: Final = ROSTER_READ_INTERVAL_S * (1 + INTERVAL_JITTER) + 1.0
-REGISTER_RETRY_INTERVAL_S: Final = 1.0
 
 
 class RoutedPorts(NamedTuple):
@@ -130,9 +122,6 @@
         rng: random.Random,
     ) -> None:
         own = options.own
-        self._own = own
-        self._is_first_start = options.is_first_start
-        self._registry = ports.registry
         self._rng = rng
         self._view = InstallationView()
         connectivity = StoreConnectivity(events=ports.events)
@@ -141,6 +130,7 @@
             connectivity=connectivity,
             events=ports.events,
             on_removed=self._drop_server,
+            on_restored=lambda: self._registration.on_restored(),
         )
         self._watch = self._make_watch(ports, connectivity)
         self._roster = InstanceRoster(own=own)
@@ -156,6 +146,16 @@
             events=ports.events,
             serve_other=self._lender.serve,
         )
+        self._registration = Registration(
+            own=own,
+            registry=ports.registry,
+            roster=self._roster,
+            relay=self._relay,
+            lender=self._lender,
+            era=lambda: self._sync.era,
+            is_first_start=options.is_first_start,
+            rng=rng,
+        )
         self._connections = ConnectionPool(
             connector=ports.connector,
             idle_limit=SharedIdleLimit(view=self._view, roster=self._roster),
@@ -234,7 +234,7 @@
         """Start the tasks of all components and return when they run."""
         await self._relay.start()
         self._tasks = [
-            asyncio.create_task(self._follow_registry()),
+            asyncio.create_task(self._registration.run()),
             asyncio.create_task(self._prune_connections()),
         ]
 
@@ -293,36 +293,3 @@
         while True:
             await asyncio.sleep(PRUNE_INTERVAL_S)
             self._connections.prune()
-
-    async def _follow_registry(self) -> None:
-        """Register this instance, then read all registrations periodically.
-
-        While registering or reading fails, the relay gets an empty roster,
-        so that this instance does not depend on any other.
-        """
-        registered = await self._registry.register(entry=self._own)
-        # A failed call may have written the entry.
-        may_be_new = registered.is_error() or registered.ok
-        while registered.is_error():
-            self._relay.set_roster(())
-            await asyncio.sleep(
-                REGISTER_RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.5)
-            )
-            registered = await self._registry.register(entry=self._own)
-        if may_be_new and not self._is_first_start:
-            self._lender.delay_start(seconds=ENTRY_KNOWN_S)
-        pauses = iter(ROSTER_STARTUP_PAUSES_S)
-        while True:
-            read = await self._registry.read()
-            if read.is_ok():
-                self._roster.set_entries(read.ok)
-            pause = next(pauses, ROSTER_READ_INTERVAL_S)
-            # When all instances start together, the first read may list only
-            # this one; the next read decides which one watches the store.
-            is_only_entry = read.is_ok() and len(read.ok) <= 1
-            if not is_only_entry or pause != ROSTER_STARTUP_PAUSES_S[0]:
-                self._relay.set_roster(read.ok if read.is_ok() else ())
-            await asyncio.sleep(
-                pause
-                * self._rng.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
-            )
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -27,6 +27,7 @@
 from teaselrock.coordination.connections import FixedIdleLimit
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.events import Events
+from teaselrock.coordination.ports import InstanceListing
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.ports import ObjectEntry
 from teaselrock.coordination.ports import ObjectListing
@@ -381,20 +382,17 @@
         )
         return Error(replaced.error) if replaced.is_error() else Ok(False)
 
-    async def read(
-        self,
-    ) -> Result[tuple[InstanceRegistration, ...], StoreError]:
+    async def read(self) -> Result[InstanceListing, StoreError]:
         """Read the entries of all instances."""
         listed = await self._source.read(allow_stale=True)
         if listed.is_error():
             return Error(listed.error)
-        return Ok(
-            tuple(
-                entry.value
-                for entry in listed.ok.entries
-                if entry.value is not None
-            )
+        registrations = tuple(
+            entry.value
+            for entry in listed.ok.entries
+            if entry.value is not None
         )
+        return Ok(InstanceListing(registrations, listed.ok.position.era))
 
 
 def _era(response: BackendResponse) -> int:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from platform_world import PlatformStore
 
 from teaselrock.coordination.events import NoEvents
+from teaselrock.coordination.ports import InstanceListing
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.ports import StorePosition
@@ -133,6 +134,6 @@
         moved = registration._replace(address='10.0.0.2:7660')
         assert (await registry.register(entry=registration)).ok is True
         assert (await registry.register(entry=moved)).ok is False
-        assert (await registry.read()).ok == (moved,)
+        assert (await registry.read()).ok == InstanceListing((moved,), 1)
 
     _run(scenario)
--- a/tests/registry/fleet_world.py
+++ b/tests/registry/fleet_world.py
@@ -11,7 +11,9 @@
 from registry_world import MemoryRelayLink
 from registry_world import OnChannel
 from registry_world import RecordedEvents
+from registry_world import SourceCopy
 
+from teaselrock.coordination.ports import InstanceListing
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.routed_instance import RoutedInstance
@@ -164,6 +166,7 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, InstanceRegistration] = {}
+        self.era = 1
 
     async def register(
         self, *, entry: InstanceRegistration
@@ -172,10 +175,8 @@
         self.entries[entry.instance_id] = entry
         return Ok(is_new)
 
-    async def read(
-        self,
-    ) -> Result[tuple[InstanceRegistration, ...], StoreError]:
-        return Ok(tuple(self.entries.values()))
+    async def read(self) -> Result[InstanceListing, StoreError]:
+        return Ok(InstanceListing(tuple(self.entries.values()), self.era))
 
 
 class Outcome(NamedTuple):
@@ -187,6 +188,13 @@
     refusal: Refusal | None
 
 
+class FleetCopy(NamedTuple):
+    """Content of the store at one moment."""
+
+    sources: tuple[SourceCopy, ...]
+    registrations: dict[str, InstanceRegistration]
+
+
 class Fleet:
     """Instances, servers, and callers that send at a given rate."""
 
@@ -255,6 +263,23 @@
         await instance.start()
         return instance
 
+    def restore(self, copy: 'FleetCopy') -> None:
+        """Return the store to a copy, as the platform does in a drill."""
+        for source, old in zip(self._sources, copy.sources):
+            source.restore(old)
+        self.registry.entries = dict(copy.registrations)
+        self.registry.era += 1
+
+    def copy(self) -> 'FleetCopy':
+        return FleetCopy(
+            tuple(source.copy() for source in self._sources),
+            dict(self.registry.entries),
+        )
+
+    @property
+    def _sources(self) -> tuple[MemoryObjectSource, ...]:
+        return self.tables, self.server_entries, self.zones_out
+
     async def kill(self, name: str) -> None:
         """End an instance without notice to its peers' requests."""
         instance = self.instances.pop(name)
