Restore the store from a copy in the soak

Change: in half of the runs the stand-in store returns to older copies; the operator and the servers write their objects again, the system its registrations. A check finds gateways that are not registered at the end.

--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -93,6 +93,9 @@
     def delete(self, kind: str, name: str) -> None:
         self._append(kind, name, None, True)
 
+    def names(self, kind: str) -> set[str]:
+        return {name for stored, name in self.objects if stored == kind}
+
     def copy(self) -> StoreCopy:
         return StoreCopy(dict(self.objects), list(self.history), self.revision)
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -171,6 +172,17 @@
     ]
 
 
+def unregistered_gateways(
+    gateways: Iterable[str], registered: Container[str]
+) -> list[str]:
+    """Gateways that the store does not know after the last fault."""
+    return [
+        f'{gateway} is not registered after the last fault'
+        for gateway in gateways
+        if gateway not in registered
+    ]
+
+
 def _at_most_once(calls: Sequence[Call], runs: Iterable[Run]) -> Iterator[str]:
     """Builds run at most once, and not at all if refused as not run."""
     counts = Counter(run.request_id for run in runs)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 from checks import UNDISTURBED_S  # noqa: E402
 from checks import unexpected_exits  # noqa: E402
 from checks import unrecovered_gateways  # noqa: E402
+from checks import unregistered_gateways  # noqa: E402
 from proxy import Mode  # noqa: E402
 from world import Gateway  # noqa: E402
 from world import World  # noqa: E402
@@ -58,6 +59,9 @@
         # Of its own, so that the faults of a seed stay the same.
         self._limits_rng = random.Random(f'{seed} limits')
         self._notices_rng = random.Random(f'{seed} notices')
+        self._restores_rng = random.Random(f'{seed} restores')
+        # What the operator and the servers have written last; None: deleted.
+        self._written: dict[tuple[str, str], Any] = {}
         self._problems: list[str] = []
         self._version = 0
         self._route = ''
@@ -83,6 +87,7 @@
                 asyncio.create_task(self._inject_faults()),
                 asyncio.create_task(self._limit_rates()),
                 asyncio.create_task(self._ask_for_pauses()),
+                asyncio.create_task(self._restore_store()),
             ]
             await asyncio.sleep(self._seconds)
             for task in tasks[1:]:
@@ -161,6 +166,43 @@
             finally:
                 server.pause_s = None
 
+    async def _restore_store(self) -> None:
+        """Return the store to older copies; its writers write again.
+
+        Only in half of the runs: the outage excuses all gateways from other
+        bounds for a while.
+        """
+        rng, store = self._restores_rng, self._world.store
+        if rng.random() < 0.5:
+            return
+        while True:
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            copy = store.copy()
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            away_s = rng.uniform(0.0, 1.5)
+            self._record_fault('', away_s)
+            store.drops_connections = True
+            try:
+                await asyncio.sleep(away_s)
+            finally:
+                store.restore(copy)
+                store.drops_connections = False
+            try:
+                await asyncio.sleep(rng.uniform(0.0, 1.5))
+            finally:
+                for (kind, name), spec in self._written.items():
+                    self._write(kind, name, spec)
+
+    def _write(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object, or delete it if `spec` is None."""
+        self._written[kind, name] = spec
+        store = self._world.store
+        stored = store.objects.get((kind, name))
+        if spec is None and stored is not None:
+            store.delete(kind, name)
+        elif spec is not None and (stored is None or stored['spec'] != spec):
+            store.put(kind, name, spec)
+
     def _pick(self) -> Gateway:
         return self._rng.choice(self._world.gateways)
 
@@ -245,22 +287,21 @@
             return
         server = self._rng.choice(live)
         if self._rng.random() < 0.5:
-            world.store.put(
+            self._write(
                 'servers',
                 server.server_id,
-                server.soak_entry(state='draining'),
+                server.soak_entry(state='draining', born=server.born),
             )
         else:
-            world.store.delete('servers', server.server_id)
+            self._write('servers', server.server_id, None)
         server.departure_deadline = time.monotonic() + PROPAGATION_LIMIT_S
         server.is_leaving = self._notices_rng.random() < 0.5
         await asyncio.sleep(self._rng.uniform(2.5, 5.0))
         server.departure_deadline = None
         server.is_leaving = False
-        world.store.put(
-            'servers',
-            server.server_id,
-            server.soak_entry(born=time.time_ns() // 1_000_000),
+        server.born = time.time_ns() // 1_000_000
+        self._write(
+            'servers', server.server_id, server.soak_entry(born=server.born)
         )
 
     async def _replace_routes(self) -> None:
@@ -275,7 +316,7 @@
             _path('build', '/build/', 'non_idempotent'),
             _path('new', self._route, 'idempotent'),
         ]
-        self._world.store.put(
+        self._write(
             'config',
             'main',
             {
@@ -376,6 +417,8 @@
             statuses[gateway.name], _, _ = await _read_response(reader)
             writer.close()
         self._problems += unrecovered_gateways(statuses)
+        registered = self._world.store.names('teaselrock-instances')
+        self._problems += unregistered_gateways(list(codes), registered)
 
 
 def _path(name: str, prefix: str, kind: str) -> dict[str, Any]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,6 +9,7 @@
 from checks import UNDISTURBED_S
 from checks import unexpected_exits
 from checks import unrecovered_gateways
+from checks import unregistered_gateways
 import pytest
 from world import Arrival
 from world import Pause
@@ -147,6 +148,12 @@
     assert [violation.split()[0] for violation in found] == ['gw-2', 'gw-3']
 
 
+def test_unregistered_gateway_is_found() -> None:
+    """Guards against a check that misses a lost registration."""
+    (found,) = unregistered_gateways(['gw-1', 'gw-2'], {'gw-2', 'gw-3'})
+    assert found.startswith('gw-1 ')
+
+
 def test_process_that_ended_by_itself_is_found() -> None:
     """Guards against a check that misses a gateway whose process exited."""
     (found,) = unexpected_exits({'gw-1': None, 'gw-2': -1})
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -82,6 +82,7 @@
         self.lost_response_share = 0.0
         self.proxy: Proxy | None = None
         self.address = ''
+        self.born = 1
 
     async def start(self) -> None:
         """Listen behind a proxy."""
@@ -273,7 +274,11 @@
         address = await self.store.http.start()
         for server in self.servers:
             await server.start()
-            self.store.put('servers', server.server_id, server.soak_entry())
+            self.store.put(
+                'servers',
+                server.server_id,
+                server.soak_entry(born=server.born),
+            )
         for gateway in self.gateways:
             await gateway.prepare(address)
             await gateway.start()
