Choose ports of tests outside the range of outgoing connections

Seen: test_refusal_is_explained ended with 'address already in use' in one of 25 runs beside three busy processes.

Change: tests/free_ports.py, used by all of them, chooses ports below that range.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 import hashlib
 import pathlib
-import socket
 from typing import Final
 
 import pytest
 
+from free_ports import find_free_ports
 from teaselrock.daemon.settings import GatewaySettings
 
 KNOWN_FAILURES_FILE: Final = (
@@ -54,9 +54,8 @@
     """Returns a loopback port that was free when it was called."""
 
     def find_port() -> int:
-        with socket.socket() as listener:
-            listener.bind(('127.0.0.1', 0))
-            return int(listener.getsockname()[1])
+        (port,) = find_free_ports(1)
+        return port
 
     return find_port
 
--- a/tests/platform/gateway_world.py
+++ b/tests/platform/gateway_world.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 import json
 import pathlib
-import socket
 from typing import Any
 
 from platform_world import PlatformServer
 from platform_world import PlatformStore
 
+from free_ports import find_free_ports
 from teaselrock.daemon.platform_gateway import PlatformGateway
 from teaselrock.platform import headers
 from teaselrock.platform import settings as platform_settings
@@ -51,7 +51,7 @@
         self.caller_address = ''
 
     async def start(self, path: pathlib.Path) -> None:
-        ports = _free_ports(3)
+        ports = find_free_ports(3)
         settings = {
             'node_name': 'edge-1',
             'ip': '127.0.0.1',
@@ -116,15 +116,5 @@
         return sum(len(server.received) for server in self.servers)
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(('127.0.0.1', 0))
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
-
-
 Scenario = Callable[[World], Awaitable[None]]
 Run = Callable[[Scenario], None]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import time
 from typing import Any
@@ -14,13 +13,14 @@
 from typing import NamedTuple
 
 ROOT: Final = pathlib.Path(__file__).parents[2]
-sys.path.insert(0, str(ROOT / 'tests' / 'platform'))
+sys.path[:0] = [str(ROOT / 'tests'), str(ROOT / 'tests' / 'platform')]
 
 from platform_world import PlatformServer  # noqa: E402
 from platform_world import PlatformStore  # noqa: E402
 from platform_world import Response  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
+from free_ports import find_free_ports  # noqa: E402
 from teaselrock.platform import headers  # noqa: E402
 from teaselrock.transport.request_parser import CallerRequest  # noqa: E402
 
@@ -153,7 +153,7 @@
         self.log = folder / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
         self.proxy: Proxy | None = None
-        self.ports = _free_ports(self.ip, 3)
+        self.ports = find_free_ports(3, ip=self.ip)
         # Overlapping restarts of one gateway would leave a process running.
         self.restarting = asyncio.Lock()
 
@@ -302,13 +302,3 @@
             if server.proxy is not None:
                 server.proxy.stop()
         self.store.http.stop()
-
-
-def _free_ports(ip: str, count: int) -> list[int]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind((ip, 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
