Refuse requests that a planned stop would cut off

Reported by other operators: late in the grace of a planned stop requests were taken, passed on, and cut without an answer at its end.

Cause, found here too: a gateway of the platform served every request until its connections were aborted. A request whose body ended after the listener was closed reached a server and got no answer.

Change: once the listener is closed, requests are refused as not run with a short Retry-After, since other instances take them at once. From SIGTERM on this holds for requests that must not run twice and whose deadline is after the end of the stop. The own gateway refuses new requests in its stop already.

Result: test_late_request_of_a_planned_stop_is_refused got no answer before and 503 now, and no server gets the request.

--- a/src/teaselrock/coordination/dispatch.py
+++ b/src/teaselrock/coordination/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from typing import Final
 
 from expression import Error
 from expression import Result
@@ -26,6 +27,11 @@
 from teaselrock.state import Request
 from teaselrock.state import Verdict
 
+# Retry-After of an instance that is not ready, but may be soon.
+NOT_READY_RETRY_AFTER_S: Final = 1.0
+# Retry-After of an instance that stops: the others take requests at once.
+STOPPING_RETRY_AFTER_S: Final = 0.05
+
 
 class Dispatcher:
     """Serves the requests of one instance."""
@@ -46,6 +52,9 @@
         self._records = records
         self._allowances = allowances
         self._report = report
+        # End of a planned stop on the loop's clock, None before the stop.
+        self._stop_ends_at: float | None = None
+        self._refuses_all = False
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -55,6 +64,18 @@
         """Number of requests that are being served."""
         return self._in_flight
 
+    def begin_stop(self, *, ends_at: float) -> None:
+        """Refuse requests from now on that must not be cut off.
+
+        These are requests that must not run twice and whose deadline is later
+        than `ends_at`, the end of the stop on the loop's clock.
+        """
+        self._stop_ends_at = ends_at
+
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on; those in flight continue."""
+        self._refuses_all = True
+
     async def drain(self) -> None:
         """Wait until no request is being served."""
         await self._idle.wait()
@@ -90,16 +111,29 @@
         """
         if not self._readiness.is_ready:
             return Error(
-                Refusal(
-                    RefusalCode.INSTANCE_NOT_READY,
-                    Verdict.DID_NOT_RUN,
+                _not_ready(
                     'this instance accepts no new requests: it is starting, '
                     'stopping, isolated or out of service',
-                    retry_after=1.0,
+                    NOT_READY_RETRY_AFTER_S,
+                )
+            )
+        if self._refuses_all or self._may_be_cut_off(request):
+            return Error(
+                _not_ready(
+                    'this instance stops and may end before the request',
+                    STOPPING_RETRY_AFTER_S,
                 )
             )
         return self._admission.check(request=request)
 
+    def _may_be_cut_off(self, request: Request) -> bool:
+        """Whether a stop may end before a request that must run once."""
+        return (
+            self._stop_ends_at is not None
+            and not request.is_idempotent
+            and request.deadline > self._stop_ends_at
+        )
+
     def refuse(
         self, *, request: Request, refusal: Refusal
     ) -> Result[BackendResponse, Refusal]:
@@ -173,3 +207,12 @@
         finally:
             if claim is not None:
                 await claim.finish(verdict=combined.verdict)
+
+
+def _not_ready(detail: str, retry_after: float) -> Refusal:
+    return Refusal(
+        RefusalCode.INSTANCE_NOT_READY,
+        Verdict.DID_NOT_RUN,
+        detail,
+        retry_after=retry_after,
+    )
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -188,12 +188,20 @@
         self._events.emit(event=Event.GATEWAY_STOPPING)
         if self._settings_task is not None:
             self._settings_task.cancel()
+        loop = asyncio.get_running_loop()
+        ends_at = (
+            loop.time()
+            + self._settings.limits.stop_grace_s
+            - PROCESS_EXIT_MARGIN_S
+        )
+        dispatcher = self._instance.dispatcher
+        dispatcher.begin_stop(ends_at=ends_at)
         self._caller_listener.begin_close()
         await asyncio.sleep(STOP_DELAY_S)
+        dispatcher.refuse_new()
         self._caller_listener.stop_accepting()
-        grace_s = self._settings.limits.stop_grace_s
         await self._caller_listener.wait_closed(
-            limit=max(0.0, grace_s - STOP_DELAY_S - PROCESS_EXIT_MARGIN_S)
+            limit=max(0.0, ends_at - loop.time())
         )
         await self._instance.stop()
         await self._store.close()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -265,6 +265,36 @@
     run(scenario)
 
 
+def test_late_request_of_a_planned_stop_is_refused(run: Run) -> None:
+    """Guards against a build that is passed on and then cut off by a stop.
+
+    Its body ends shortly before the process does, and it takes longer.
+    """
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            server.delay_s = 1.4
+        reader, writer = await world.open_connection()
+        writer.write(
+            b'POST /b/1 HTTP/1.1\r\nHost: a.example\r\n'
+            b'Content-Length: 2\r\n\r\n1'
+        )
+        await asyncio.sleep(0.1)
+        assert world.gateway is not None
+        stopping = asyncio.create_task(world.gateway.stop())
+        await asyncio.sleep(2.8)
+        writer.write(b'2')
+        response = await reader.read()
+        writer.close()
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert b'\r\nConnection: close\r\n' in response
+        assert b'\r\nRetry-After: ' in response
+        assert world.received_count == 0
+        await stopping
+
+    run(scenario)
+
+
 def test_address_reused_by_another_server(run: Run) -> None:
     """Guards against requests to another server at a reused address.
 
