Read a list of objects although one of them is unreadable

Reported by other operators: after one odd entry among those of the servers (deeply nested, a number too large, a port out of range) the machines ended again and again, or no longer followed the list.

Cause, found here too: a page was decoded as a whole. For an entry that is nested too deeply the decoder raises RecursionError, which ended the task that watches the kind; for a number out of range, a lone surrogate or text that is no JSON the whole listing failed, for good. A number of slots or a start time above 64 bits was accepted and could not be relayed to other instances.

Change: where a page cannot be decoded, its objects are, one by one; an unreadable one is an entry without a value. Numbers, names and addresses of entries are checked by platform/values.py for their range. A relay frame that is nested too deeply is an error value, and an address without a valid port a failed connection.

--- a/src/teaselrock/platform/documents.py
+++ b/src/teaselrock/platform/documents.py
@@ -9,8 +9,11 @@
 from typing import Final
 
 from teaselrock.coordination.ports import InstanceRegistration
+from teaselrock.platform.values import header_name
+from teaselrock.platform.values import ip_address
 from teaselrock.platform.values import MALFORMED_ERRORS
 from teaselrock.platform.values import non_empty_text
+from teaselrock.platform.values import whole_number
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import CallerLimits
@@ -39,14 +42,13 @@
                 health_target=non_empty_text(
                     item.get('health_path') or '/health'
                 ),
-                max_connections=int(item.get('max_conns') or 0),
+                max_connections=whole_number(item.get('max_conns') or 0),
                 cold_rate=float(item.get('cold_per_s') or 0.0),
             )
             for item in spec['services']
         }
         return RoutingTable(
-            # The version is a hexadecimal number.
-            int(non_empty_text(spec['version']), 16),
+            _version(spec['version']),
             routes,
             services,
             _limits(spec.get('limits') or {}),
@@ -55,6 +57,11 @@
         return None
 
 
+def _version(value: Any) -> int:
+    """Decode a version, which is a hexadecimal number."""
+    return whole_number(int(non_empty_text(value), 16))
+
+
 def _route(host: str, path: Mapping[str, Any]) -> Route:
     split = path.get('traffic_split') or ()
     shares = tuple(
@@ -73,8 +80,8 @@
             path.get('target_latency_ms') or path['timeout_ms']
         )
         / 1000,
-        priority=int(path.get('priority') or 0),
-        max_attempts=max(1, int(path.get('max_attempts') or 1)),
+        priority=whole_number(path.get('priority') or 0),
+        max_attempts=whole_number(path.get('max_attempts') or 1, minimum=1),
         home_regions=frozenset(path.get('allowed_regions') or ()),
     )
 
@@ -82,10 +89,10 @@
 def _limits(limits: Mapping[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        max_head_bytes=int(
+        max_head_bytes=whole_number(
             limits.get('max_header_bytes') or default.max_head_bytes
         ),
-        max_body_bytes=int(
+        max_body_bytes=whole_number(
             limits.get('max_body_bytes') or default.max_body_bytes
         ),
         head_timeout=float(
@@ -111,41 +118,22 @@
     try:
         zone = non_empty_text(spec['zone'])
         state = non_empty_text(spec['state'])
-        concurrency = spec['slots']
-        # Start of the server's process, in Unix milliseconds.
-        started_at = spec.get('born', 0)
-        address = non_empty_text(spec['address'])
-        _, colon, port = address.rpartition(':')
-        is_valid = (
-            state in _STATES
-            and zone in zone_regions
-            and _is_whole_number(concurrency)
-            and concurrency > 0
-            and _is_whole_number(started_at)
-            and started_at >= 0
-            and bool(colon)
-            and 0 < int(port) < 65536
-        )
-        if not is_valid:
+        if state not in _STATES:
             return None
         return BackendServer(
-            server_id=name,
+            server_id=header_name(name),
             service=non_empty_text(spec['service']),
             zone=AvailabilityZone(zone_regions[zone], zone),
-            address=address,
-            concurrency=concurrency,
+            address=ip_address(spec['address']),
+            concurrency=whole_number(spec['slots'], minimum=1),
             is_draining=state == 'draining',
-            started_at=started_at,
+            # Start of the server's process, in Unix milliseconds.
+            started_at=whole_number(spec.get('born', 0)),
         )
     except MALFORMED_ERRORS:
         return None
 
 
-def _is_whole_number(value: Any) -> bool:
-    # JSON booleans are instances of int.
-    return isinstance(value, int) and not isinstance(value, bool)
-
-
 def decode_zone_out(name: str, spec: Any) -> str | None:
     """Decode an evacuation; the object is named after the zone."""
     return name
@@ -158,10 +146,10 @@
     """
     try:
         return InstanceRegistration(
-            name,
+            non_empty_text(name),
             non_empty_text(spec['region']),
             non_empty_text(spec['zone']),
-            str(spec.get('address') or ''),
+            ip_address(spec['address']),
         )
     except MALFORMED_ERRORS:
         return None
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -35,6 +35,8 @@
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.ports import StorePosition
 from teaselrock.platform import documents
+from teaselrock.platform.pages import DECODE_ERRORS
+from teaselrock.platform.pages import decode_page
 from teaselrock.platform.values import MALFORMED_ERRORS
 from teaselrock.protocol import fields
 from teaselrock.state import AvailabilityZone
@@ -161,12 +163,13 @@
         query: dict[str, str | int] | None = None,
         body: Any = None,
         timeout: float = CALL_TIMEOUT_S,
+        decode: Callable[[bytes], Any] = msgspec.json.decode,
     ) -> Result[StoreReply, StoreError]:
         """Make one call; fails unless the response has a 2xx status.
 
-        `timeout` is in seconds.
+        `timeout` is in seconds; `decode` decodes the body of the response.
         """
-        result = await self._call(method, path, query, body, timeout)
+        result = await self._call(method, path, query, body, timeout, decode)
         if result.is_ok():
             self._era = max(self._era, result.ok.era)
         self._calls[
@@ -181,6 +184,7 @@
         query: dict[str, str | int] | None,
         body: Any,
         timeout: float,
+        decode: Callable[[bytes], Any],
     ) -> Result[StoreReply, StoreError]:
         target = path if not query else f'{path}?{urlencode(query)}'
         content = RequestContent(
@@ -204,10 +208,8 @@
                 )
             )
         try:
-            return Ok(
-                StoreReply(msgspec.json.decode(response.body), _era(response))
-            )
-        except msgspec.DecodeError as error:
+            return Ok(StoreReply(decode(response.body), _era(response)))
+        except DECODE_ERRORS as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
     async def close(self) -> None:
@@ -278,7 +280,10 @@
             query['serializable'] = 1
         while True:
             result = await self._client.call(
-                method='GET', path=self._path, query=query
+                method='GET',
+                path=self._path,
+                query=query,
+                decode=decode_page,
             )
             if result.is_error():
                 return Error(result.error)
@@ -318,6 +323,7 @@
                 'wait_ms': min(MAX_WAIT_MS, int(wait * 1000)),
             },
             timeout=wait + WAIT_MARGIN_S,
+            decode=decode_page,
         )
         if result.is_error():
             return Error(result.error)
--- a/src/teaselrock/protocol/codec.py
+++ b/src/teaselrock/protocol/codec.py
@@ -62,5 +62,9 @@
             return Error(DecodeError(f'unknown message kind {frame[:1]!r}'))
         try:
             return Ok(decoder.decode(frame[1:]))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             return Error(DecodeError(str(error)))
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -362,7 +362,8 @@
         try:
             async with asyncio.timeout_at(connect_deadline):
                 reader, writer = await open_stream(host, int(port))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: no valid port in an address of another writer.
             return Error(_connect_failure(server, str(error) or 'timed out'))
         enable_tcp_keep_alive(writer)
         return Ok(
--- a/src/teaselrock/transport/relay_link.py
+++ b/src/teaselrock/transport/relay_link.py
@@ -106,7 +106,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError, ValueError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two: no valid port in an address of another writer.
             return None
         return self._channel(reader, writer)
 
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -189,12 +189,29 @@
                 continue
 
 
+class RawJson(NamedTuple):
+    """Text that a writer has stored, whether it is JSON or not."""
+
+    text: str
+
+
 def _json_response(status: int, value: Any) -> Response:
-    return (
-        status,
-        {'Content-Type': 'application/json'},
-        json.dumps(value).encode(),
-    )
+    raw_texts: list[str] = []
+
+    def replace(part: Any) -> Any:
+        if isinstance(part, RawJson):
+            raw_texts.append(part.text)
+            return f'@raw{len(raw_texts) - 1}@'
+        if isinstance(part, dict):
+            return {name: replace(member) for name, member in part.items()}
+        if isinstance(part, list):
+            return [replace(element) for element in part]
+        return part
+
+    text = json.dumps(replace(value))
+    for index, raw in enumerate(raw_texts):
+        text = text.replace(f'"@raw{index}@"', raw)
+    return status, {'Content-Type': 'application/json'}, text.encode()
 
 
 class PlatformServer:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,17 +1,26 @@
 """Requests of callers through a gateway of the platform."""
 
 import asyncio
+import json
+from typing import Any
 
 from gateway_world import BUILD
 from gateway_world import ROUTE
 from gateway_world import routes_spec
 from gateway_world import Run
 from gateway_world import World
+from platform_world import PlatformServer
+from platform_world import RawJson
 import pytest
 
 from teaselrock.platform import headers
 
 
+def _odd_entry(**changes: Any) -> str:
+    """Registration of a server in JSON, with other values."""
+    return json.dumps(PlatformServer('odd').entry(**changes))
+
+
 def test_request_is_served(run: Run) -> None:
     """Guards against a response that loses its signature or its body.
 
@@ -295,6 +304,41 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        pytest.param('[' * 20_000 + ']' * 20_000, id='deeply nested'),
+        pytest.param('{"slots": 1e400}', id='float out of range'),
+        pytest.param('{"slots": 1%s}' % ('0' * 5000), id='huge number'),
+        pytest.param('{"service": "\\ud800"}', id='lone surrogate'),
+        pytest.param('{"service": nope}', id='no JSON'),
+        pytest.param(_odd_entry(slots=10**30), id='slots above 64 bits'),
+        pytest.param(_odd_entry(born=10**30), id='start above 64 bits'),
+        pytest.param(_odd_entry(address='127.0.0.1:99999'), id='port'),
+        pytest.param(_odd_entry(address='127.0.0.1:\u0663'), id='digit'),
+    ],
+)
+def test_odd_entry_does_not_stop_the_watch(run: Run, text: str) -> None:
+    """Guards against an entry of another writer that hides all others."""
+
+    async def scenario(world: World) -> None:
+        for _ in range(2):
+            world.store.put('servers', 'a-odd', RawJson(text))
+            world.store.put('teaselrock-instances', 'odd', RawJson(text))
+            await asyncio.sleep(0.4)
+            # The next listing has the entry, too.
+            world.store.first_revision = world.store.revision
+        for server in world.servers:
+            world.store.put(
+                'servers', server.server_id, server.entry(state='draining')
+            )
+        async with asyncio.timeout(5):
+            while (await world.send_request('/x/1'))[0] != 503:
+                await asyncio.sleep(0.05)
+
+    run(scenario)
+
+
 def test_address_reused_by_another_server(run: Run) -> None:
     """Guards against requests to another server at a reused address.
 
