Treat input that is nested too deeply as unreadable

The decoder raises RecursionError, which the readers of settings and of log lines did not expect: a changed settings file ended the task that reloads it, a line of another program the command explain.

Change: one tuple of the decoders' exceptions, protocol/decode_errors.py, also for documents of the own store, frames and pages.

--- a/src/teaselrock/platform/pages.py
+++ b/src/teaselrock/platform/pages.py
@@ -9,11 +9,10 @@
 
 import msgspec
 
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
 from teaselrock.protocol.json_parts import split_array
 from teaselrock.protocol.json_parts import split_object
 
-# Raised by the decoder; `RecursionError` for a text that is nested too deeply.
-DECODE_ERRORS: Final = (msgspec.DecodeError, RecursionError, ValueError)
 _ITEMS: Final = b'items'
 _EVENTS: Final = b'events'
 _OBJECT: Final = b'object'
@@ -23,7 +22,7 @@
     """Decode a list of objects or of changes.
 
     Members of an object that cannot be decoded are None. Raises
-    `msgspec.DecodeError` or `ValueError` if the page itself is no such list.
+    one of `DECODE_ERRORS` or `SplitError` if the page itself is no such list.
     """
     try:
         return msgspec.json.decode(text)
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -17,6 +17,7 @@
 
 from teaselrock.platform.values import MALFORMED_ERRORS
 from teaselrock.platform.values import non_empty_text
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
 
 PATH_VARIABLE: Final = 'TEASELROCK_SETTINGS'
 # Path of the platform's readiness check of an instance.
@@ -83,7 +84,7 @@
     """Read and decode a settings file."""
     try:
         document = msgspec.json.decode(path.read_bytes())
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, *DECODE_ERRORS) as error:
         return Error(SettingsError('', f'cannot read {path}: {error}'))
     return decode(document)
 
--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -35,10 +35,11 @@
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.ports import StorePosition
 from teaselrock.platform import documents
-from teaselrock.platform.pages import DECODE_ERRORS
 from teaselrock.platform.pages import decode_page
 from teaselrock.platform.values import MALFORMED_ERRORS
 from teaselrock.protocol import fields
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
+from teaselrock.protocol.json_parts import SplitError
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendResponse
 from teaselrock.state import BackendServer
@@ -209,7 +210,7 @@
             )
         try:
             return Ok(StoreReply(decode(response.body), _era(response)))
-        except DECODE_ERRORS as error:
+        except (*DECODE_ERRORS, SplitError) as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
     async def close(self) -> None:
--- a/src/teaselrock/protocol/codec.py
+++ b/src/teaselrock/protocol/codec.py
@@ -15,6 +15,8 @@
 from expression import Result
 import msgspec
 
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
+
 MAX_MESSAGE_BYTES: Final = 65536
 
 
@@ -62,9 +64,5 @@
             return Error(DecodeError(f'unknown message kind {frame[:1]!r}'))
         try:
             return Ok(decoder.decode(frame[1:]))
-        except (
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-            RecursionError,
-        ) as error:
+        except DECODE_ERRORS as error:
             return Error(DecodeError(str(error)))
--- a/src/teaselrock/protocol/document_codec.py
+++ b/src/teaselrock/protocol/document_codec.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from teaselrock.coordination.ports import DocumentError
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
 
 
 class JsonDocumentCodec:
@@ -28,5 +29,5 @@
         """Decode JSON and validate it against a type."""
         try:
             return Ok(msgspec.json.decode(data, type=value_type))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return Error(DocumentError(str(error)))
--- a/src/teaselrock/protocol/log_lines.py
+++ b/src/teaselrock/protocol/log_lines.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
+
 _COMMON_FIELDS: Final = frozenset(
     {'time', 'level', 'event', 'number', 'instance'}
 )
@@ -47,7 +49,7 @@
         return None
     try:
         decoded = msgspec.json.decode(line[start:])
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     if not isinstance(decoded, dict):
         return None
--- a/src/teaselrock/transport/store.py
+++ b/src/teaselrock/transport/store.py
@@ -31,6 +31,7 @@
 from teaselrock.coordination.ports import StoredValue
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.protocol.decode_errors import DECODE_ERRORS
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
 
@@ -350,7 +351,7 @@
         return Ok(
             msgspec.json.decode(response_result.ok.body, type=value_type)
         )
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Error(
             StoreError(StoreErrorKind.UNAVAILABLE, f'{name}: {error}')
         )
