Split the modules of attempts, checked slots and the store's client

Change: attempt_results, choice/checked_slot and platform/store_client hold what can be read alone; no behaviour changes.

--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -15,6 +15,12 @@
 from expression import Ok
 from expression import Result
 
+from teaselrock.coordination.attempt_results import attempt_outcome
+from teaselrock.coordination.attempt_results import cancelled_failure
+from teaselrock.coordination.attempt_results import CombinedVerdict
+from teaselrock.coordination.attempt_results import EndedAttempt
+from teaselrock.coordination.attempt_results import excess_failure
+from teaselrock.coordination.attempt_results import final_refusal
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.ports import AttemptBudget
 from teaselrock.coordination.ports import BackendConnection
@@ -25,7 +31,6 @@
 from teaselrock.coordination.ports import Slot
 from teaselrock.coordination.ports import SlotSource
 from teaselrock.coordination.request_servers import RequestServers
-from teaselrock.state import AttemptOutcome
 from teaselrock.state import AttemptReason
 from teaselrock.state import BackendResponse
 from teaselrock.state import BackendServer
@@ -33,45 +38,11 @@
 from teaselrock.state import FailureKind
 from teaselrock.state import LoadReport
 from teaselrock.state import Refusal
-from teaselrock.state import RefusalCode
 from teaselrock.state import Request
 from teaselrock.state import Verdict
 
 # For requests without a route; includes the first attempt and hedges.
 DEFAULT_MAX_ATTEMPTS: Final = 3
-# Responses with these statuses are retried for idempotent requests.
-RETRIED_STATUSES: Final = frozenset({500, 502, 503, 504})
-
-
-class _EndedAttempt(NamedTuple):
-    """An attempt that has ended, and its result."""
-
-    slot: Slot
-    result: Result[BackendResponse, ExchangeFailure]
-
-    def is_final(self, request: Request) -> bool:
-        """Whether its response goes to the caller without a retry."""
-        return self.result.is_ok() and not _is_retried(request, self.result.ok)
-
-
-class CombinedVerdict:
-    """Combined verdict of the ended attempts of one request."""
-
-    def __init__(self) -> None:
-        self._verdict = Verdict.DID_NOT_RUN
-
-    @property
-    def verdict(self) -> Verdict:
-        """The most severe verdict of the ended attempts.
-
-        The order is `DID_NOT_RUN`, `MAY_HAVE_RUN`, `RAN`.
-        """
-        return self._verdict
-
-    def add_verdict(self, verdict: Verdict) -> None:
-        """Include the verdict of an attempt that has ended."""
-        order = (Verdict.DID_NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
-        self._verdict = max(self._verdict, verdict, key=order.index)
 
 
 class Attempts(Protocol):
@@ -167,7 +138,7 @@
                 break
         if response is not None:
             return Ok(response)
-        return Error(_final_refusal(request, combined.verdict, failure))
+        return Error(final_refusal(request, combined.verdict, failure))
 
     async def _acquire(
         self,
@@ -202,7 +173,7 @@
 
     async def _attempt_with_hedge(
         self, context: _RequestContext, slot: Slot
-    ) -> list[_EndedAttempt]:
+    ) -> list[EndedAttempt]:
         """Run an attempt, and a hedge if it is slow.
 
         After the first final response the other attempt is cancelled, which
@@ -221,7 +192,7 @@
         started = asyncio.Event()
         # A list keeps the order deterministic when both end at once.
         tasks = [asyncio.create_task(self._run_first(context, slot, started))]
-        ended: list[_EndedAttempt] = []
+        ended: list[EndedAttempt] = []
         try:
             done, _ = await asyncio.wait(tasks, timeout=delay)
             if (
@@ -251,13 +222,13 @@
 
     async def _run_first(
         self, context: _RequestContext, slot: Slot, started: asyncio.Event
-    ) -> _EndedAttempt | None:
+    ) -> EndedAttempt | None:
         started.set()
         return await self._run_attempt(context, slot)
 
     async def _run_hedge(
         self, context: _RequestContext
-    ) -> _EndedAttempt | None:
+    ) -> EndedAttempt | None:
         acquired = await self._acquire(
             context, context.servers.ids, AttemptReason.HEDGE
         )
@@ -267,21 +238,21 @@
 
     async def _run_attempt(
         self, context: _RequestContext, slot: Slot
-    ) -> _EndedAttempt:
+    ) -> EndedAttempt:
         if not context.servers.try_add(slot.server.server_id):
             slot.release(outcome=None)
-            return _EndedAttempt(slot, Error(_excess_failure(slot)))
+            return EndedAttempt(slot, Error(excess_failure(slot)))
         loop = asyncio.get_running_loop()
         started = loop.time()
         result: Result[BackendResponse, ExchangeFailure] = Error(
-            _cancelled_failure(Verdict.DID_NOT_RUN)
+            cancelled_failure(Verdict.DID_NOT_RUN)
         )
         try:
             opened = await self._take_connection(context, slot)
             if opened.is_error():
                 result = Error(opened.error)
             else:
-                result = Error(_cancelled_failure(Verdict.MAY_HAVE_RUN))
+                result = Error(cancelled_failure(Verdict.MAY_HAVE_RUN))
                 result = await self._send_request(context, slot, opened.ok)
         finally:
             latency = loop.time() - started
@@ -290,7 +261,7 @@
             self._hedge_policy.observe(
                 service=context.request.service, latency=latency
             )
-        return _EndedAttempt(slot, result)
+        return EndedAttempt(slot, result)
 
     def _record_end(
         self,
@@ -300,7 +271,7 @@
         latency: float,
     ) -> None:
         """Release the slot and record the attempt, even if cancelled."""
-        outcome = _attempt_outcome(result, latency)
+        outcome = attempt_outcome(result, latency)
         verdict = result.error.verdict if result.is_error() else Verdict.RAN
         slot.release(outcome=outcome)
         context.combined.add_verdict(verdict)
@@ -375,48 +346,5 @@
     return DEFAULT_MAX_ATTEMPTS
 
 
-def _is_retried(request: Request, response: BackendResponse) -> bool:
-    return request.is_idempotent and response.status in RETRIED_STATUSES
-
-
 def _has_time(request: Request) -> bool:
     return asyncio.get_running_loop().time() < request.deadline
-
-
-def _cancelled_failure(verdict: Verdict) -> ExchangeFailure:
-    return ExchangeFailure(
-        FailureKind.CANCELLED, verdict, 'the attempt was cancelled'
-    )
-
-
-def _excess_failure(slot: Slot) -> ExchangeFailure:
-    return ExchangeFailure(
-        FailureKind.CANCELLED,
-        Verdict.DID_NOT_RUN,
-        f'server {slot.server.server_id} was not tried: the request has '
-        'reached its largest number of servers',
-    )
-
-
-def _attempt_outcome(
-    result: Result[BackendResponse, ExchangeFailure], latency: float
-) -> AttemptOutcome:
-    if result.is_error():
-        return AttemptOutcome(latency, result.error.kind, result.error.load)
-    failure = FailureKind.SERVER_ERROR if result.ok.status >= 500 else None
-    return AttemptOutcome(latency, failure, result.ok.load)
-
-
-def _final_refusal(
-    request: Request, verdict: Verdict, failure: ExchangeFailure | None
-) -> Refusal:
-    late = asyncio.get_running_loop().time() >= request.deadline
-    code = (
-        RefusalCode.DEADLINE_EXCEEDED if late else RefusalCode.BACKEND_FAILED
-    )
-    detail = (
-        failure.detail
-        if failure is not None
-        else f'no attempt at {request.service} completed'
-    )
-    return Refusal(code, verdict, detail)
--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -19,6 +19,7 @@
 
 from teaselrock.coordination.choice import refusals
 from teaselrock.coordination.choice.check_groups import CheckGroups
+from teaselrock.coordination.choice.checked_slot import CheckedSlot
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.latency_estimates import UNHEALTHY_FACTOR
 from teaselrock.coordination.choice.load_checks import CheckResult
@@ -27,7 +28,6 @@
 from teaselrock.coordination.choice.server_notices import ServerNotices
 from teaselrock.coordination.choice.server_rates import RateDenial
 from teaselrock.coordination.choice.server_rates import ServerRates
-from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.ports import Slot
 from teaselrock.coordination.rate_permits import RatePermit
 from teaselrock.coordination.registry import InstallationView
@@ -68,85 +68,6 @@
     permit: RatePermit | None
 
 
-class CheckedSlot:
-    """`Slot` of a server that was just checked, with its connection."""
-
-    def __init__(
-        self,
-        *,
-        source: 'CheckedSlots',
-        route: Route,
-        check: CheckResult,
-        permit: RatePermit | None,
-        expected_latency: float,
-        answered: int,
-        reason: AttemptReason,
-    ) -> None:
-        self._source = source
-        self._answered = answered
-        self._route = route
-        self._check = check
-        self._permit = permit
-        self._expected = expected_latency
-        self._reason = reason
-
-    @property
-    def server(self) -> BackendServer:
-        """The chosen server."""
-        return self._check.server
-
-    @property
-    def start_id(self) -> str:
-        """Start id of the server process that answered the check."""
-        return self._check.load.start_id
-
-    @property
-    def reason(self) -> AttemptReason:
-        """Why this server was chosen."""
-        return self._reason
-
-    @property
-    def evidence(self) -> str:
-        """Expected latency, load, duration of the check, number of answers.
-
-        `120ms,2+0of3x1.5,4ms,5`: 120 ms expected; 2 requests running and
-        none queued, of a capacity of 3, with a processing time of 1.5 times
-        the usual one; the check took 4 ms; 5 servers answered checks. A rate
-        limit that the server announces follows, as in `limit3.8`.
-        """
-        load = self._check.load
-        duration = self._check.ended_at - self._check.started_at
-        limit = '' if load.rate_limit is None else f',limit{load.rate_limit:g}'
-        return (
-            f'{self._expected * 1000:.0f}ms,'
-            f'{load.in_flight}+{load.queued}of{load.capacity}'
-            f'x{load.work_factor:g},{duration * 1000:.0f}ms,{self._answered}'
-            f'{limit}'
-        )
-
-    @property
-    def is_valid(self) -> bool:
-        """Whether the server may still get this request."""
-        now = asyncio.get_running_loop().time()
-        if self._permit is not None and now > self._permit.expires_at:
-            return False
-        return self._source.may_serve(self._check.server)
-
-    @property
-    def connection(self) -> BackendConnection | None:
-        """The connection that the check has used."""
-        return self._check.connection
-
-    def release(self, *, outcome: AttemptOutcome | None) -> None:
-        """Report the outcome; `None` returns the unused connection."""
-        self._source.on_release(
-            route=self._route,
-            check=self._check,
-            expected_latency=self._expected,
-            outcome=outcome,
-        )
-
-
 class CheckedSlots:
     """`SlotSource` by load checks."""
 
@@ -232,7 +153,7 @@
         )
         return Ok(
             CheckedSlot(
-                source=self,
+                owner=self,
                 route=route,
                 check=check,
                 permit=chosen.permit,
--- a/src/teaselrock/coordination/dispatch.py
+++ b/src/teaselrock/coordination/dispatch.py
@@ -11,8 +11,8 @@
 from expression import Error
 from expression import Result
 
+from teaselrock.coordination.attempt_results import CombinedVerdict
 from teaselrock.coordination.attempts import Attempts
-from teaselrock.coordination.attempts import CombinedVerdict
 from teaselrock.coordination.ports import Admission
 from teaselrock.coordination.ports import Allowances
 from teaselrock.coordination.ports import Claim
--- a/src/teaselrock/coordination/route_attempts.py
+++ b/src/teaselrock/coordination/route_attempts.py
@@ -11,8 +11,8 @@
 from expression import Ok
 from expression import Result
 
+from teaselrock.coordination.attempt_results import CombinedVerdict
 from teaselrock.coordination.attempts import AttemptRunner
-from teaselrock.coordination.attempts import CombinedVerdict
 from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.coordination.ports import AttemptBudget
 from teaselrock.coordination.ports import Claim
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -34,6 +34,7 @@
 from teaselrock.platform import settings as platform_settings
 from teaselrock.platform import store
 from teaselrock.platform.settings import ProcessSettings
+from teaselrock.platform.store_client import StoreClient
 from teaselrock.state import BackendServer
 from teaselrock.state.configuration import Document
 from teaselrock.state.configuration import empty_document
@@ -114,7 +115,7 @@
         self._response_memory = ResponseMemory(
             limit_bytes=_response_memory_limit(settings)
         )
-        self._store = store.StoreClient(
+        self._store = StoreClient(
             address=(
                 f'{settings.store_address.host}:{settings.store_address.port}'
             ),
--- a/tests/attempts/test_planned_stop.py
+++ b/tests/attempts/test_planned_stop.py
@@ -7,7 +7,7 @@
 from expression import Result
 import pytest
 
-from teaselrock.coordination.attempts import CombinedVerdict
+from teaselrock.coordination.attempt_results import CombinedVerdict
 from teaselrock.coordination.dispatch import Dispatcher
 from teaselrock.coordination.dispatch import STOPPING_RETRY_AFTER_S
 from teaselrock.coordination.events import NoEvents
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,9 +12,9 @@
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.ports import StorePosition
 from teaselrock.platform.documents import decode_zone_out
-from teaselrock.platform.store import StoreClient
 from teaselrock.platform.store import StoredInstanceRegistry
 from teaselrock.platform.store import StoredObjectSource
+from teaselrock.platform.store_client import StoreClient
 
 Scenario = Callable[[PlatformStore, StoreClient], Awaitable[None]]
 
