Forget a former process of a server also after its removal

Cause, found by reading: a response that arrives after the entry of its server was removed may still say that the server leaves. A process that later starts under the same id was new to the view, so the notice stayed and the server got nothing from this instance until its next removal.

Change: the start times of removed servers tell a new process from one whose entry had lapsed; a new one begins without what is known of the former. Reads of the registrations after a restore are repeated after 4 s, not 1 s, while the store does not answer.

Result: test_process_that_starts_again_begins_without_former_notices failed before.

--- a/src/teaselrock/coordination/registration.py
+++ b/src/teaselrock/coordination/registration.py
@@ -32,6 +32,8 @@
 RESTORE_READ_SPREAD_S: Final = 2.0
 # A read may return data from before the restore; it is then repeated.
 STALE_READ_RETRY_S: Final = 1.0
+# Longer if the store does not answer, since its calls are billed all the same.
+FAILED_READ_RETRY_S: Final = 4.0
 
 
 class Registration:
@@ -95,9 +97,11 @@
                 self._relay.set_roster(self._known if read.is_ok() else ())
             if self._may_be_lost:
                 await self._register_if_lost(read.ok if read.is_ok() else None)
-            await self._pause(
-                STALE_READ_RETRY_S if self._may_be_lost else pause
-            )
+            if self._may_be_lost and read.is_ok():
+                pause = STALE_READ_RETRY_S
+            elif self._may_be_lost:
+                pause = FAILED_READ_RETRY_S
+            await self._pause(pause)
 
     async def _register(self) -> bool:
         """Register; True if other instances may not know the entry yet."""
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -176,10 +176,13 @@
         known = self._view.server(entry.name)
         if known == entry.value:
             return
-        if known is not None and known.started_at != entry.value.started_at:
-            # Nothing that is known of the former process holds for this one.
+        former_start = self._departed.pop(entry.name, None)
+        if known is not None:
+            former_start = known.started_at
+        if former_start not in (None, entry.value.started_at):
+            # Nothing that is known of the former process holds for this one,
+            # nor what its last responses told after it was removed.
             self._on_removed(entry.name)
-        self._departed.pop(entry.name, None)
         self._view.put_server(entry.value)
         self._events.emit(
             event=(
--- a/tests/registry/test_region_relay.py
+++ b/tests/registry/test_region_relay.py
@@ -617,3 +617,29 @@
         assert _all_have(region, {'s1', 's2'})
 
     run_paused(main())
+
+
+@pytest.mark.parametrize(('started_at', 'is_new'), [(1, False), (2, True)])
+def test_process_that_starts_again_begins_without_former_notices(
+    started_at: int, is_new: bool
+) -> None:
+    """Guards against a late response of a former process that is kept.
+
+    The entry is removed in between, so that nothing else tells the two apart.
+    """
+
+    async def main() -> None:
+        region = Region(1)
+        await region.start()
+        member, source = region.members[0], region.sources[1]
+        source.put('s2', backend_server('s2', started_at=1))
+        await asyncio.sleep(1.0)
+        source.delete('s2')
+        await asyncio.sleep(1.0)
+        assert member.removed_server_ids == ['s2']
+        source.put('s2', backend_server('s2', started_at=started_at))
+        await asyncio.sleep(1.0)
+        assert member.removed_server_ids == ['s2'] * (1 + is_new)
+        assert 's2' in member.server_ids()
+
+    run_paused(main())
