--- a/tests/attempts/attempts_world.py
+++ b/tests/attempts/attempts_world.py
@@ -36,6 +36,27 @@
 LOAD = LoadReport('s', ServerState.WARM, 0, 6)
 
 
+def route(
+    *, max_attempts: int = 2, is_idempotent: bool = True, timeout: float = 5.0
+) -> Route:
+    return Route(
+        name='r',
+        host='a.example',
+        prefix='/x/',
+        shares=(ServiceShare('desk', 1.0),),
+        is_idempotent=is_idempotent,
+        timeout=timeout,
+        target_latency=0.6,
+        priority=1,
+        max_attempts=max_attempts,
+    )
+
+
+def request(sent: Route, *, deadline: float) -> Request:
+    content = RequestContent('GET', '/x/', (), b'')
+    return Request('', 'desk', content, deadline, route=sent)
+
+
 class Behaviour(NamedTuple):
     """What a server does: it responds `status` after `work_s` seconds.
 
@@ -209,26 +230,14 @@
         is_idempotent: bool = True,
         remaining_s: float = 5.0,
     ) -> Result[BackendResponse, Refusal]:
-        route = Route(
-            name='r',
-            host='a.example',
-            prefix='/x/',
-            shares=(ServiceShare('desk', 1.0),),
+        now = asyncio.get_running_loop().time()
+        sent = route(
+            max_attempts=max_attempts,
             is_idempotent=is_idempotent,
             timeout=remaining_s,
-            target_latency=0.6,
-            priority=1,
-            max_attempts=max_attempts,
         )
-        now = asyncio.get_running_loop().time()
         return await self._runner.run(
-            request=Request(
-                '',
-                'desk',
-                RequestContent('GET', '/x/', (), b''),
-                now + remaining_s,
-                route=route,
-            ),
+            request=request(sent, deadline=now + remaining_s),
             permission=Permission(frozenset({'east'}), 1),
             claim=None,
             row=self.row,
--- a/tests/attempts/test_planned_stop.py
+++ b/tests/attempts/test_planned_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from attempts_world import request
+from attempts_world import route
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -23,10 +25,7 @@
 from teaselrock.state import Refusal
 from teaselrock.state import RefusalCode
 from teaselrock.state import Request
-from teaselrock.state import RequestContent
 from teaselrock.state import Verdict
-from teaselrock.state.routes import Route
-from teaselrock.state.routes import ServiceShare
 
 WORK_S = 1.0
 
@@ -69,25 +68,9 @@
     async def send(
         self, *, is_idempotent: bool, deadline: float
     ) -> Result[BackendResponse, Refusal]:
-        route = Route(
-            name='r',
-            host='a.example',
-            prefix='/x/',
-            shares=(ServiceShare('desk', 1.0),),
-            is_idempotent=is_idempotent,
-            timeout=5.0,
-            target_latency=0.6,
-            priority=1,
-            max_attempts=2,
-        )
+        sent = route(is_idempotent=is_idempotent)
         return await self.dispatcher.dispatch(
-            request=Request(
-                '',
-                'desk',
-                RequestContent('GET', '/x/', (), b''),
-                deadline,
-                route=route,
-            )
+            request=request(sent, deadline=deadline)
         )
 
 
