Let the soak run with any number of gateways and servers

Cause: its size was fixed at six of each, so no run came near the limits.

ServerNotices reads the clock only for a server that has asked for a pause, since it is called for each server and request.

--- a/src/teaselrock/coordination/choice/server_notices.py
+++ b/src/teaselrock/coordination/choice/server_notices.py
@@ -60,8 +60,9 @@
     def pause(self, server_id: str) -> Pause | None:
         """The pause that a server is in, None if it is in none."""
         pause = self._pauses.get(server_id)
-        now = asyncio.get_running_loop().time()
-        return pause if pause is not None and pause.until > now else None
+        if pause is None or pause.until <= asyncio.get_running_loop().time():
+            return None
+        return pause
 
     def observe(self, *, server: BackendServer, load: LoadReport) -> None:
         """Record the notices of a response to a request or a load check."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,8 @@
 from checks import unregistered_gateways  # noqa: E402
 from proxy import Mode  # noqa: E402
 from world import Gateway  # noqa: E402
+from world import GATEWAYS  # noqa: E402
+from world import SERVERS  # noqa: E402
 from world import World  # noqa: E402
 
 from teaselrock.platform import headers  # noqa: E402
@@ -49,10 +51,23 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, *, seed: int, seconds: float, folder: str) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        folder: str,
+        gateways: int = GATEWAYS,
+        servers: int = SERVERS,
+    ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
-        self._world = World(seed=seed, folder=pathlib.Path(folder))
+        self._world = World(
+            seed=seed,
+            folder=pathlib.Path(folder),
+            gateways=gateways,
+            servers=servers,
+        )
         self._calls: list[Call] = []
         self._fault_log: list[Fault] = []
         self._limits: list[Limit] = []
@@ -454,11 +469,24 @@
     summary: str
 
 
-def run_seed(*, seed: int, seconds: float, folder: str) -> SeedResult:
+def run_seed(
+    *,
+    seed: int,
+    seconds: float,
+    folder: str,
+    gateways: int = GATEWAYS,
+    servers: int = SERVERS,
+) -> SeedResult:
     """Run one seed; logs of the gateways stay in `folder`."""
 
     async def main() -> SeedResult:
-        soak = Soak(seed=seed, seconds=seconds, folder=folder)
+        soak = Soak(
+            seed=seed,
+            seconds=seconds,
+            folder=folder,
+            gateways=gateways,
+            servers=servers,
+        )
         return SeedResult(await soak.run(), soak.summary)
 
     return asyncio.run(main())
@@ -470,11 +498,19 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--start', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=12.0)
+    parser.add_argument('--gateways', type=int, default=GATEWAYS)
+    parser.add_argument('--servers', type=int, default=SERVERS)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.start, options.start + options.seeds):
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
-        result = run_seed(seed=seed, seconds=options.seconds, folder=folder)
+        result = run_seed(
+            seed=seed,
+            seconds=options.seconds,
+            folder=folder,
+            gateways=options.gateways,
+            servers=options.servers,
+        )
         failed += bool(result.problems)
         print(f'seed {seed}: {len(result.problems)} problems, {folder}')
         print(f'  {result.summary}', flush=True)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,11 @@
 ZONES: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 SLOTS_PER_SERVER: Final = 4
 STOP_GRACE_S: Final = 6.0
+GATEWAYS: Final = 6
+SERVERS: Final = 6
+# Time until all gateways of a run are ready; they share the machine's cores.
+START_LIMIT_S: Final = 18.0
+START_LIMIT_PER_GATEWAY_S: Final = 0.4
 
 
 class Run(NamedTuple):
@@ -148,7 +153,7 @@
     ) -> None:
         self.name = name
         self.zone = zone
-        self.ip = f'127.0.1.{index + 1}'
+        self.ip = f'127.0.{1 + index // 250}.{index % 250 + 1}'
         self.settings = folder / f'{name}.json'
         self.log = folder / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
@@ -241,7 +246,14 @@
 class World:
     """Store, servers and gateway processes of one soak run."""
 
-    def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        gateways: int = GATEWAYS,
+        servers: int = SERVERS,
+    ) -> None:
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.pauses: list[Pause] = []
@@ -257,7 +269,7 @@
                 pauses=self.pauses,
                 seed=seed,
             )
-            for index in range(6)
+            for index in range(servers)
         ]
         self.gateways = [
             Gateway(
@@ -266,7 +278,7 @@
                 index=index,
                 folder=folder,
             )
-            for index in range(6)
+            for index in range(gateways)
         ]
 
     async def start(self) -> None:
@@ -282,7 +294,9 @@
         for gateway in self.gateways:
             await gateway.prepare(address)
             await gateway.start()
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(
+            START_LIMIT_S + START_LIMIT_PER_GATEWAY_S * len(self.gateways)
+        ):
             for gateway in self.gateways:
                 while not await gateway.is_ready():
                     await asyncio.sleep(0.1)
