Go on after an unexpected error in the watch or the relay

Cause: the tasks that follow the store and relay its changes ended quietly with an exception that none of their callers expects.

--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -171,10 +171,14 @@
 
     async def _run(self) -> None:
         while True:
-            if self._ranked:
-                self._update_followed()
-                await self._update_role()
-            self._publish()
+            try:
+                if self._ranked:
+                    self._update_followed()
+                    await self._update_role()
+                self._publish()
+            except Exception as error:
+                # Without this task the instance would follow no changes.
+                self._events.emit(event=Event.RELAY_FAILED, detail=repr(error))
             await asyncio.sleep(TICK_INTERVAL_S)
 
     async def _update_role(self) -> None:
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -107,6 +107,7 @@
             self._events.emit(
                 event=Event.STORE_RESTORED,
                 era=position.era,
+                former_era=self._era,
                 revision=position.revision,
             )
             self._on_restored()
--- a/src/teaselrock/coordination/registry/watch.py
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -140,7 +140,21 @@
                     await self._poll(wait)
 
     async def _poll(self, wait: float) -> bool:
-        """Make one call to the store; False if it failed."""
+        """Make one call to the store; False if it failed.
+
+        An unexpected error, for example of a decoder, must not end the watch
+        without a sign. The objects are then listed again.
+        """
+        try:
+            return await self._follow_once(wait)
+        except Exception as error:
+            self._needs_listing = True
+            self._connectivity.record_failure(
+                kind=self._name, detail=f'unexpected error: {error!r}'
+            )
+            return False
+
+    async def _follow_once(self, wait: float) -> bool:
         after = self._mirror.position
         if after == NO_POSITION or self._needs_listing:
             if self._has_just_listed:
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -71,6 +71,7 @@
         Event.OBJECT_UNREADABLE,
         Event.CHECK_FAILED,
         Event.STORE_RESTORED,
+        Event.RELAY_FAILED,
     ),
     logging.WARNING,
 )
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -309,6 +309,7 @@
         return {
             'instance': self._settings.instance_id,
             'version': self._instance.view.table.version,
+            'store_era': self._store.era,
             'ready': self.is_ready,
             'in_flight': self._instance.dispatcher.in_flight,
             'connections': self._caller_listener.connections,
--- a/tests/registry/test_region_relay.py
+++ b/tests/registry/test_region_relay.py
@@ -1,15 +1,23 @@
 """Watching the store and relaying changes within a region, with faults."""
 
 import asyncio
+import random
+from typing import Any
 
 import pytest
 from registry_world import backend_server
 from registry_world import Member
+from registry_world import MemoryObjectSource
+from registry_world import RecordedEvents
 from registry_world import Region
 from registry_world import routing_table
 from registry_world import SourceCopy
 
 from teaselrock.coordination import rendezvous
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.registry import KindWatch
+from teaselrock.coordination.registry import StoreConnectivity
+from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.relay import watch_takeover_delay
 from teaselrock.standins.clock import run_paused
 from teaselrock.state import BackendServer
@@ -643,3 +651,73 @@
         assert 's2' in member.server_ids()
 
     run_paused(main())
+
+
+class _RaisingSource:
+    """`ObjectSource` whose first calls raise an error of a decoder."""
+
+    def __init__(self, source: Any, count: int) -> None:
+        self._source = source
+        self._count = count
+
+    async def list_all(self) -> Any:
+        self._raise_at_first()
+        return await self._source.list_all()
+
+    async def wait_for_changes(self, *, after: Any, wait: float) -> Any:
+        self._raise_at_first()
+        return await self._source.wait_for_changes(after=after, wait=wait)
+
+    def _raise_at_first(self) -> None:
+        self._count -= 1
+        if self._count >= 0:
+            raise RecursionError('nested too deeply')
+
+
+def test_unexpected_error_does_not_end_the_watch() -> None:
+    """Guards against a task that ends quietly while others go on."""
+
+    async def main() -> None:
+        source = MemoryObjectSource()
+        events = RecordedEvents()
+        mirror: Mirror[BackendServer] = Mirror(on_change=lambda change: None)
+        watch = KindWatch(
+            name='servers',
+            source=_RaisingSource(source, 3),
+            mirror=mirror,
+            connectivity=StoreConnectivity(events=events),
+            rng=random.Random(1),
+        )
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(5.0)
+        source.put('s1', backend_server('s1'))
+        await asyncio.sleep(1.0)
+        assert mirror.entry('s1') is not None
+        assert events.emitted == [Event.STORE_LOST, Event.STORE_REGAINED]
+        task.cancel()
+
+    run_paused(main())
+
+
+def test_unexpected_error_does_not_end_the_relay(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance that follows no changes for one error."""
+
+    async def main() -> None:
+        region = Region(2)
+        await region.start()
+        (watcher,) = region.watchers()
+
+        def fail() -> None:
+            raise OverflowError('integer above 64 bits')
+
+        with monkeypatch.context() as patch:
+            patch.setattr(watcher.relay, '_publish', fail)
+            await asyncio.sleep(0.5)
+        region.sources[0].put('main', routing_table(2))
+        await asyncio.sleep(3.0)
+        assert {member.view.table.version for member in region.members} == {2}
+        assert Event.RELAY_FAILED in watcher.events.emitted
+
+    run_paused(main())
