--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -1,6 +1,8 @@
-"""Responses whose server stops at any byte and closes the connection."""
+"""Responses whose server stops at any byte and ends the connection."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -17,8 +19,13 @@
     f'HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: id1\r\n{headers.SIGNATURE}: s'
 )
 BODY = 'twelve bytes'
+# Closing the socket then resets the connection.
+NO_LINGER = struct.pack('ii', 1, 0)
+INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
 
 
+@pytest.mark.parametrize('ends_by_reset', [False, True])
+@pytest.mark.parametrize('interim', ['', INTERIM], ids=['', 'interim'])
 @pytest.mark.parametrize(
     ('framing', 'body', 'whole_from'),
     [
@@ -34,10 +41,14 @@
     ],
 )
 def test_cut_response_is_no_success(
-    framing: str, body: str, whole_from: int | None
+    framing: str,
+    body: str,
+    whole_from: int | None,
+    interim: str,
+    ends_by_reset: bool,
 ) -> None:
     """Guards against a part of a response that is forwarded as whole."""
-    response = f'{HEAD}{framing}\r\n\r\n{body}'.encode()
+    response = f'{interim}{HEAD}{framing}\r\n\r\n{body}'.encode()
 
     async def main() -> None:
         cut = 0
@@ -47,6 +58,11 @@
         ) -> None:
             await reader.readuntil(b'\r\n\r\n')
             writer.write(response[:cut])
+            if ends_by_reset:
+                await writer.drain()
+                writer.get_extra_info('socket').setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
             writer.close()
 
         listener = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -64,15 +80,19 @@
             )
         )
         deadline = asyncio.get_running_loop().time() + 60
-        for cut in range(len(response) + 1):
+        # A reset may also take what the reader has not read yet, so the whole
+        # response is only expected after an orderly end.
+        for cut in range(len(response) + (not ends_by_reset)):
             opened = await connector.connect(server=server, deadline=deadline)
             result = await opened.ok.exchange(
                 content=CONTENT, deadline=deadline
             )
             opened.ok.close()
-            is_whole = cut == len(response) or (
-                whole_from is not None and cut >= whole_from
-            )
+            is_whole = cut == len(response)
+            if whole_from is not None:
+                is_whole = (
+                    cut >= len(interim) + whole_from and not ends_by_reset
+                )
             assert result.is_ok() == is_whole, response[:cut]
             if not is_whole:
                 assert result.error.verdict is Verdict.MAY_HAVE_RUN
