Expect the start time in the servers of the own platform list

Cause: BackendServer has a start time since servers may start again under their id; two tests compare it with tuples of all fields.

Change: the tuples have the field, which the own list leaves at 0.

--- a/tests/standins/test_standin_process.py
+++ b/tests/standins/test_standin_process.py
@@ -74,7 +74,7 @@
         try:
             listed = HttpPlatformList(client=client)
             assert (await listed.backend_servers()).ok == [
-                ('s', 'desk', ('east', 'a'), address, 2, False)
+                ('s', 'desk', ('east', 'a'), address, 2, False, 0)
             ]
             assert (await listed.instance_ids()).ok == {'gw'}
             # A watch of a missing key waits for its creation or the timeout.
--- a/tests/transport/test_store_client.py
+++ b/tests/transport/test_store_client.py
@@ -186,4 +186,6 @@
             lambda client: HttpPlatformList(client=client).backend_servers(),
         )
     )
-    assert result.ok == [('s1', 'desk', ('east', 'a'), '127.0.0.1:1', 4, True)]
+    assert result.ok == [
+        ('s1', 'desk', ('east', 'a'), '127.0.0.1:1', 4, True, 0)
+    ]
