Remove an unused method and correct two docstrings

Cause: read again as a newcomer would. DelayedActions.__contains__ was never called, and the docstring of Registration.run did not say which roster the relay gets while registering fails.

--- a/src/teaselrock/coordination/registration.py
+++ b/src/teaselrock/coordination/registration.py
@@ -77,8 +77,9 @@
     async def run(self) -> None:
         """Register, then read the registrations until cancelled.
 
-        While registering or reading fails, the relay gets an empty roster,
-        so that this instance does not depend on any other.
+        While reading fails, the relay gets an empty roster, so that this
+        instance does not depend on any other; while registering fails, it
+        gets the roster that was read before.
         """
         is_new = await self._register()
         if is_new and not self._is_first_start:
--- a/src/teaselrock/coordination/registry/delayed_actions.py
+++ b/src/teaselrock/coordination/registry/delayed_actions.py
@@ -10,9 +10,6 @@
     def __init__(self) -> None:
         self._timers: dict[str, asyncio.TimerHandle] = {}
 
-    def __contains__(self, name: str) -> bool:
-        return name in self._timers
-
     def schedule(
         self, name: str, *, delay: float, action: Callable[[str], None]
     ) -> None:
--- a/src/teaselrock/platform/pages.py
+++ b/src/teaselrock/platform/pages.py
@@ -21,8 +21,8 @@
 def decode_page(text: bytes) -> Any:
     """Decode a list of objects or of changes.
 
-    Members of an object that cannot be decoded are None. Raises
-    one of `DECODE_ERRORS` or `SplitError` if the page itself is no such list.
+    Members of an object that cannot be decoded are None. Raises one of
+    `DECODE_ERRORS` or `SplitError` if the page itself is no such list.
     """
     try:
         return msgspec.json.decode(text)
