--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,10 +38,15 @@
     while True:
         request_id = harness.new_id()
         sent_at = time.monotonic()
-        answer = await client.request(harness.encode_request(
-            'GET', path, host=HOST_NAME, request_id=request_id,
-            deadline_ms=LIMIT_MS,
-        ))
+        answer = await client.request(
+            harness.encode_request(
+                'GET',
+                path,
+                host=HOST_NAME,
+                request_id=request_id,
+                deadline_ms=LIMIT_MS,
+            )
+        )
         if answer is None:
             raise harness.CannotRun('a channel was closed')
         results.append((sent_at, answer[0]))
@@ -64,25 +69,42 @@
     await link.start()
     for number in range(1, 16):
         upstream = harness.Upstream(
-            record=record, server_id=f'i-{number}', service='parts-cat',
-            zone=ZONE, work_s=WORK_S, slots=6,
+            record=record,
+            server_id=f'i-{number}',
+            service='parts-cat',
+            zone=ZONE,
+            work_s=WORK_S,
+            slots=6,
         )
         await upstream.start()
         store.put('servers', upstream.server_id, upstream.entry(), 'upstream')
     first = harness.route(
-        'first', '/first/', 'parts-cat', timeout_ms=LIMIT_MS,
-        target_ms=AIM_MS, priority=1,
+        'first',
+        '/first/',
+        'parts-cat',
+        timeout_ms=LIMIT_MS,
+        target_ms=AIM_MS,
+        priority=1,
     )
     added = harness.route(
-        'added', '/added/', 'parts-cat', timeout_ms=LIMIT_MS,
-        target_ms=AIM_MS, priority=2,
+        'added',
+        '/added/',
+        'parts-cat',
+        timeout_ms=LIMIT_MS,
+        target_ms=AIM_MS,
+        priority=2,
     )
     store.put(
         'config', 'main', harness.desired_state(1, ['parts-cat'], [first])
     )
     gateway = harness.Gateway(
-        record=record, name=f'edge-{ZONE}-1', zone=ZONE, zones={ZONE: 'seq'},
-        link=link, folder=folder, bootstrap=True,
+        record=record,
+        name=f'edge-{ZONE}-1',
+        zone=ZONE,
+        zones={ZONE: 'seq'},
+        link=link,
+        folder=folder,
+        bootstrap=True,
     )
     gateways.append(gateway)
     await gateway.start()
@@ -90,23 +112,34 @@
     first_results = []
     added_results = []
     tasks = [
-        asyncio.create_task(call_in_a_loop(
-            record, gateway, '/first/1', first_results,
-            number * START_INTERVAL_S,
-        ))
+        asyncio.create_task(
+            call_in_a_loop(
+                record,
+                gateway,
+                '/first/1',
+                first_results,
+                number * START_INTERVAL_S,
+            )
+        )
         for number in range(FIRST_CALLERS)
     ]
     await asyncio.sleep(3)
     store.put(
-        'config', 'main',
+        'config',
+        'main',
         harness.desired_state(2, ['parts-cat'], [first, added]),
     )
     await asyncio.sleep(harness.BOUNDS['config_apply_ms'] / 1000)
     tasks += [
-        asyncio.create_task(call_in_a_loop(
-            record, gateway, '/added/1', added_results,
-            number * START_INTERVAL_S,
-        ))
+        asyncio.create_task(
+            call_in_a_loop(
+                record,
+                gateway,
+                '/added/1',
+                added_results,
+                number * START_INTERVAL_S,
+            )
+        )
         for number in range(ADDED_CALLERS)
     ]
     began_at = time.monotonic()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -27,12 +26,17 @@
         request_id = harness.new_id()
         answer = await client.request(
             harness.encode_request(
-                'POST', '/order/1', host=HOST_NAME, request_id=request_id,
-                deadline_ms=1500, body=b'x' * 1200,
+                'POST',
+                '/order/1',
+                host=HOST_NAME,
+                request_id=request_id,
+                deadline_ms=1500,
+                body=b'x' * 1200,
             )
         )
         status = answer[0] if answer else 'channel closed'
         statuses[status] = statuses.get(status, 0) + 1
+        record.line(f'{request_id} POST to {gateway.name}: {status}')
         if answer is None:
             raise harness.CannotRun(f'{gateway.name} closed a channel')
         await asyncio.sleep(0.05)
@@ -42,24 +46,45 @@
     store = harness.Store(record)
     upstreams = [
         harness.Upstream(
-            record=record, server_id=f'i-{zone}-{number}', service='job-desk',
-            zone=zone, work_s=0.05,
+            record=record,
+            server_id=f'i-{zone}-{number}',
+            service='job-desk',
+            zone=zone,
+            work_s=0.05,
         )
-        for zone in ZONES for number in (1, 2)
+        for zone in ZONES
+        for number in (1, 2)
     ]
     for upstream in upstreams:
         await upstream.start()
         store.put('servers', upstream.server_id, upstream.entry(), 'upstream')
-    store.put('config', 'main', harness.desired_state(1, ['job-desk'], [
-        harness.route('order', '/order/', 'job-desk', 'non_idempotent', 1500),
-    ]))
-    for number, zone in enumerate(GATEWAY_ZONES, start=1):
+    store.put(
+        'config',
+        'main',
+        harness.desired_state(
+            1,
+            ['job-desk'],
+            [
+                harness.route(
+                    'order', '/order/', 'job-desk', 'non_idempotent', 1500
+                ),
+            ],
+        ),
+    )
+    for zone in GATEWAY_ZONES:
         link = harness.StoreLink(store)
         await link.start()
-        gateways.append(harness.Gateway(
-            record=record, name=f'edge-{zone}-1', zone=zone, zones=ZONES,
-            link=link, folder=folder, bootstrap=True,
-        ))
+        gateways.append(
+            harness.Gateway(
+                record=record,
+                name=f'edge-{zone}-1',
+                zone=zone,
+                zones=ZONES,
+                link=link,
+                folder=folder,
+                bootstrap=True,
+            )
+        )
     for gateway in gateways:
         await gateway.start()
     for gateway in gateways:
@@ -67,14 +92,17 @@
     statuses = {}
     tasks = [
         asyncio.create_task(call_in_a_loop(record, gateway, statuses))
-        for gateway in gateways for _ in range(3)
+        for gateway in gateways
+        for _ in range(3)
     ]
     await asyncio.sleep(5)
     for zone in OUT:
         acked_at = store.put('evacuations', zone, {})
     await asyncio.sleep(EVACUATE_S + 2)
     arrived = [
-        upstream for upstream in upstreams if upstream.zone in OUT
+        upstream
+        for upstream in upstreams
+        if upstream.zone in OUT
         and any(at > acked_at + EVACUATE_S for at, *_ in upstream.arrivals)
     ]
     if arrived:
@@ -92,8 +120,10 @@
         task.cancel()
     late = [
         (at - acked_at, upstream.server_id)
-        for upstream in upstreams if upstream.zone in OUT
-        for at, *_ in upstream.arrivals if at > acked_at + EVACUATE_S
+        for upstream in upstreams
+        if upstream.zone in OUT
+        for at, *_ in upstream.arrivals
+        if at > acked_at + EVACUATE_S
     ]
     total = sum(len(upstream.arrivals) for upstream in upstreams)
     record.say(f'answers: {statuses}')
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,15 +24,19 @@
 
 def encode(request_id):
     return harness.encode_request(
-        'GET', '/lookup/1', host=HOST_NAME, request_id=request_id,
-        deadline_ms=2500, fields=(('Cookie', COOKIE),),
+        'GET',
+        '/lookup/1',
+        host=HOST_NAME,
+        request_id=request_id,
+        deadline_ms=2500,
+        fields=(('Cookie', COOKIE),),
     )
 
 
 async def send_all(writer, encoded):
     """Send as the segments of the link arrive."""
     for start in range(0, len(encoded), SEGMENT_BYTES):
-        writer.write(encoded[start:start + SEGMENT_BYTES])
+        writer.write(encoded[start : start + SEGMENT_BYTES])
         await writer.drain()
         await asyncio.sleep(SEGMENT_S)
 
@@ -42,11 +46,12 @@
     client = harness.Client(gateway)
     await client.open()
     ids = [harness.new_id() for _ in range(REQUESTS)]
+    record.line('a consumer sends ' + ' '.join(ids))
     sending = None
     if is_pipelined:
-        sending = asyncio.create_task(send_all(
-            client.writer, b''.join(encode(name) for name in ids)
-        ))
+        sending = asyncio.create_task(
+            send_all(client.writer, b''.join(encode(name) for name in ids))
+        )
     for request_id in ids:
         if not is_pipelined:
             sending = asyncio.create_task(
@@ -68,17 +73,33 @@
     await link.start()
     for number in range(1, 4):
         upstream = harness.Upstream(
-            record=record, server_id=f'i-{number}', service='parts-cat',
-            zone=ZONE, work_s=0.05,
+            record=record,
+            server_id=f'i-{number}',
+            service='parts-cat',
+            zone=ZONE,
+            work_s=0.05,
         )
         await upstream.start()
         store.put('servers', upstream.server_id, upstream.entry(), 'upstream')
-    store.put('config', 'main', harness.desired_state(1, ['parts-cat'], [
-        harness.route('lookup', '/lookup/', 'parts-cat'),
-    ]))
+    store.put(
+        'config',
+        'main',
+        harness.desired_state(
+            1,
+            ['parts-cat'],
+            [
+                harness.route('lookup', '/lookup/', 'parts-cat'),
+            ],
+        ),
+    )
     gateway = harness.Gateway(
-        record=record, name=f'edge-{ZONE}-1', zone=ZONE, zones={ZONE: 'seq'},
-        link=link, folder=folder, bootstrap=True,
+        record=record,
+        name=f'edge-{ZONE}-1',
+        zone=ZONE,
+        zones={ZONE: 'seq'},
+        link=link,
+        folder=folder,
+        bootstrap=True,
     )
     gateways.append(gateway)
     await gateway.start()
@@ -90,14 +111,16 @@
     if not gateway.is_running:
         raise harness.CannotRun('the gateway has ended')
     denied = sum(
-        1 for status in statuses
-        if status is not None and 300 <= status < 500
+        1
+        for status in statuses
+        if status is not None
+        and 300 <= status < 500
         and status not in (408, 421, 429)
     )
     allowed = DENIED_ALLOWED + CALLERS * REQUESTS / 500
-    counts = {str(s): statuses.count(s) for s in sorted(
-        set(statuses), key=str
-    )}
+    counts = {
+        str(s): statuses.count(s) for s in sorted(set(statuses), key=str)
+    }
     record.say(
         f'{counts} of {CALLERS * REQUESTS} requests; {denied} were ended '
         f'with a 3xx or 4xx of the gateway (at most {allowed:g})'
