Keep refused routes from being refused for good

Cause: each response multiplied the route's average processing time by up to 1.1, relative to the estimate when its server was chosen. All responses of requests sent together were compared with the same estimate, so their factors multiplied and the average exceeded any measured latency. A refusal by that average had no way back, because only responses correct it and it had no age.

Change: a sample is derived from the estimate that the choice was based on, without the penalty of the server, so the average stays within what was measured. Averages lose half of their weight in 3 s. A request that the average refuses and the aged average admits is sent as a probe, one per second for each route and service.

--- a/src/teaselrock/coordination/choice/checked_slot.py
+++ b/src/teaselrock/coordination/choice/checked_slot.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Protocol
 
+from teaselrock.coordination.choice.latency_estimates import LatencyEstimate
 from teaselrock.coordination.choice.load_checks import CheckResult
 from teaselrock.coordination.ports import BackendConnection
 from teaselrock.coordination.rate_permits import RatePermit
@@ -24,7 +25,7 @@
         *,
         route: Route,
         check: CheckResult,
-        expected_latency: float,
+        estimate: LatencyEstimate,
         outcome: AttemptOutcome | None,
     ) -> None:
         """Record the outcome, `None` for a slot that was not used."""
@@ -41,7 +42,8 @@
         route: Route,
         check: CheckResult,
         permit: RatePermit | None,
-        expected_latency: float,
+        estimate: LatencyEstimate,
+        is_probe: bool,
         answered: int,
         reason: AttemptReason,
     ) -> None:
@@ -50,7 +52,8 @@
         self._route = route
         self._check = check
         self._permit = permit
-        self._expected = expected_latency
+        self._estimate = estimate
+        self._is_probe = is_probe
         self._reason = reason
 
     @property
@@ -75,16 +78,18 @@
         `120ms,2+0of3x1.5,4ms,5`: 120 ms expected; 2 requests running and
         none queued, of a capacity of 3, with a processing time of 1.5 times
         the usual one; the check took 4 ms; 5 servers answered checks. A rate
-        limit that the server announces follows, as in `limit3.8`.
+        limit that the server announces follows, as in `limit3.8`, and
+        `probe` if the request was sent to correct an outdated estimate.
         """
         load = self._check.load
         duration = self._check.ended_at - self._check.started_at
         limit = '' if load.rate_limit is None else f',limit{load.rate_limit:g}'
+        probe = ',probe' if self._is_probe else ''
         return (
-            f'{self._expected * 1000:.0f}ms,'
+            f'{self._estimate.expected * 1000:.0f}ms,'
             f'{load.in_flight}+{load.queued}of{load.capacity}'
             f'x{load.work_factor:g},{duration * 1000:.0f}ms,{self._answered}'
-            f'{limit}'
+            f'{limit}{probe}'
         )
 
     @property
@@ -105,6 +110,6 @@
         self._owner.on_release(
             route=self._route,
             check=self._check,
-            expected_latency=self._expected,
+            estimate=self._estimate,
             outcome=outcome,
         )
--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -20,6 +20,8 @@
 from teaselrock.coordination.choice import refusals
 from teaselrock.coordination.choice.check_groups import CheckGroups
 from teaselrock.coordination.choice.checked_slot import CheckedSlot
+from teaselrock.coordination.choice.latency_admission import LatencyAdmission
+from teaselrock.coordination.choice.latency_estimates import LatencyEstimate
 from teaselrock.coordination.choice.latency_estimates import LatencyEstimates
 from teaselrock.coordination.choice.latency_estimates import UNHEALTHY_FACTOR
 from teaselrock.coordination.choice.load_checks import CheckResult
@@ -57,15 +59,19 @@
 
 class _Candidate(NamedTuple):
     check: CheckResult
-    expected_latency: float
+    estimate: LatencyEstimate
     score: float
 
 
 class _Chosen(NamedTuple):
-    """The chosen server, with a permit if its rate is limited."""
+    """The chosen server, with a permit if its rate is limited.
+
+    `is_probe` tells that the estimate advised against the request.
+    """
 
     candidate: _Candidate
     permit: RatePermit | None
+    is_probe: bool = False
 
 
 class CheckedSlots:
@@ -91,6 +97,7 @@
         self._notices = notices
         self._rng = rng
         self._latency_estimates = latency_estimates
+        self._admission = LatencyAdmission(view=view)
         self._check_groups = CheckGroups(own_zone=own_zone, rng=rng)
         self._send_times: defaultdict[str, deque[float]] = defaultdict(
             lambda: deque(maxlen=MAX_SEND_TIMES)
@@ -157,7 +164,8 @@
                 route=route,
                 check=check,
                 permit=chosen.permit,
-                expected_latency=chosen.candidate.expected_latency,
+                estimate=chosen.candidate.estimate,
+                is_probe=chosen.is_probe,
                 answered=len(checks),
                 reason=reason or self._reason(check.server.zone),
             )
@@ -196,35 +204,59 @@
                 self._server_rates.observe_check(check)
             ranked = self._rank_candidates(request, route, checks)
             for candidate in ranked:
-                if candidate.expected_latency > sufficient_latency:
+                if candidate.estimate.expected > sufficient_latency:
                     break
                 chosen = await self._try_candidate(
                     candidate, route, reason, denials
                 )
                 if chosen is not None:
                     return Ok(chosen)
+        result = await self._choose_above_target(
+            request, route, ranked, reason, denials
+        )
+        if result is not None:
+            return result
+        if denials:
+            return Error(
+                self._server_rates.refusal(
+                    tuple(denials.values()),
+                    route=route,
+                    other_refusal=None,
+                )
+            )
+        return Error(refusals.no_server_refusal(bool(servers)))
+
+    async def _choose_above_target(
+        self,
+        request: Request,
+        route: Route,
+        ranked: Sequence[_Candidate],
+        reason: AttemptReason | None,
+        denials: dict[str, RateDenial],
+    ) -> Result[_Chosen, Refusal] | None:
+        """Choose although the target latency is exceeded, or refuse.
+
+        None if each candidate is at its rate limit.
+        """
+        is_probe = False
         for candidate in ranked:
             if candidate.check.server.server_id in denials:
                 continue
             refusal = self._overload_refusal(
                 request, route, candidate, denials
             )
-            if refusal is not None:
-                return Error(refusal)
+            if refusal is not None and not is_probe:
+                is_probe = self._admission.try_probe(
+                    request=request, route=route, estimate=candidate.estimate
+                )
+                if not is_probe:
+                    return Error(refusal)
             chosen = await self._try_candidate(
                 candidate, route, reason, denials
             )
             if chosen is not None:
-                return Ok(chosen)
-        if denials:
-            return Error(
-                self._server_rates.refusal(
-                    tuple(denials.values()),
-                    route=route,
-                    other_refusal=None,
-                )
-            )
-        return Error(refusals.no_server_refusal(bool(servers)))
+                return Ok(chosen._replace(is_probe=is_probe))
+        return None
 
     def _paused_refusal(
         self, servers: Sequence[BackendServer]
@@ -257,14 +289,8 @@
 
         It names a rate limit if servers were left out for lack of a permit.
         """
-        now = asyncio.get_running_loop().time()
-        refusal = refusals.overload_refusal(
-            route=route,
-            expected_latency=candidate.expected_latency,
-            remaining=request.deadline - now,
-            has_more_urgent_routes=self._view.index.has_more_urgent_routes(
-                route, service=request.service
-            ),
+        refusal = self._admission.refusal(
+            request=request, route=route, estimate=candidate.estimate
         )
         if refusal is None or not denials:
             return refusal
@@ -322,7 +348,7 @@
         *,
         route: Route,
         check: CheckResult,
-        expected_latency: float,
+        estimate: LatencyEstimate,
         outcome: AttemptOutcome | None,
     ) -> None:
         """Record the outcome; without one, return the unused connection."""
@@ -338,14 +364,14 @@
         self._history.observe(
             server_id=server.server_id,
             outcome=outcome,
-            expected_latency=expected_latency,
+            expected_latency=estimate.expected,
         )
         if outcome.failure is None:
             self._latency_estimates.observe(
                 route=route,
                 service=server.service,
                 latency=outcome.latency,
-                expected_latency=expected_latency,
+                estimate=estimate,
             )
 
     def _rank_candidates(
@@ -357,23 +383,22 @@
             if not self.may_serve(check.server):
                 continue
             send_times = self._send_times[check.server.server_id]
-            expected_latency = (
-                self._latency_estimates.expected_latency(
-                    route=route,
-                    service=request.service,
-                    load=check.load,
-                    in_transit=sum(
-                        1 for at in send_times if at >= check.started_at
-                    ),
-                )
-                + check.ended_at
-                - check.started_at
+            estimate = self._latency_estimates.estimate(
+                route=route,
+                service=request.service,
+                load=check.load,
+                in_transit=sum(
+                    1 for at in send_times if at >= check.started_at
+                ),
+                round_trip=check.ended_at - check.started_at,
+                penalty=self._history.penalty(check.server.server_id),
+            )
+            score = estimate.expected * self._distance_factor(
+                check.server.zone
             )
-            expected_latency *= self._history.penalty(check.server.server_id)
-            score = expected_latency * self._distance_factor(check.server.zone)
             if not check.load.is_healthy:
                 score *= UNHEALTHY_FACTOR
-            candidates.append(_Candidate(check, expected_latency, score))
+            candidates.append(_Candidate(check, estimate, score))
         return sorted(candidates, key=lambda candidate: candidate.score)
 
     def _distance_factor(self, zone: AvailabilityZone) -> float:
--- a/src/teaselrock/coordination/choice/latency_estimates.py
+++ b/src/teaselrock/coordination/choice/latency_estimates.py
@@ -4,7 +4,9 @@
 responses. The load report provides the current slowdown and the queue.
 """
 
+import asyncio
 from typing import Final
+from typing import NamedTuple
 
 from teaselrock.state import LoadReport
 from teaselrock.state.routes import Route
@@ -13,6 +15,9 @@
 INITIAL_LATENCY_SHARE: Final = 1 / 3
 # Weight of a new response in the moving averages.
 EWMA_WEIGHT: Final = 0.05
+# Samples lose half of their weight in this time, as outcomes do in
+# `server_history`.
+SAMPLE_HALF_LIFE_S: Final = 3.0
 # A server slows down by `SATURATION_FACTOR` when more than this share of its
 # capacity is busy.
 SATURATION_SHARE: Final = 0.8
@@ -47,34 +52,98 @@
     return max(0, queued_requests) / max(1, load.capacity)
 
 
+class LatencyEstimate(NamedTuple):
+    """Estimate for one request at one server; times are in seconds.
+
+    `processing_time` is the route's average when the server was chosen, and
+    `latency` what follows from it, the load report and the round trip.
+    `aged_latency` is the same with aged averages. `penalty` is the factor of
+    the server's history, which is not in these times.
+    """
+
+    processing_time: float
+    latency: float
+    aged_latency: float
+    penalty: float = 1.0
+
+    @property
+    def expected(self) -> float:
+        """Expected latency with the penalty, in seconds."""
+        return self.latency * self.penalty
+
+    @property
+    def aged_expected(self) -> float:
+        """The same with aged averages, in seconds."""
+        return self.aged_latency * self.penalty
+
+
+class _Average:
+    """Moving average of samples that arrive at irregular intervals."""
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self._updated_at = asyncio.get_running_loop().time()
+
+    @property
+    def _retained(self) -> float:
+        """Weight that earlier samples have kept since the last one."""
+        age = asyncio.get_running_loop().time() - self._updated_at
+        return float(0.5 ** (max(0.0, age) / SAMPLE_HALF_LIFE_S))
+
+    def aged(self, initial: float) -> float:
+        """The average with `initial` in place of the weight lost by age."""
+        return initial + self._retained * (self.value - initial)
+
+    def add(self, sample: float) -> None:
+        weight = max(EWMA_WEIGHT, 1.0 - self._retained)
+        self.value += weight * (sample - self.value)
+        self._updated_at = asyncio.get_running_loop().time()
+
+
 class LatencyEstimates:
-    """Average processing times by route and by service, in seconds."""
+    """Average processing times by route and by service.
 
-    def __init__(self) -> None:
-        self._by_route: dict[tuple[str, str], float] = {}
-        self._by_service: dict[str, float] = {}
+    Averages lose weight by age: an estimate holds only while responses
+    confirm it.
+    """
 
-    def processing_time(self, *, route: Route, service: str) -> float:
-        """Usual time of a request without queueing, in seconds."""
-        average = self._by_route.get((route.name, service))
-        if average is None:
-            return route.target_latency * INITIAL_LATENCY_SHARE
-        return average
+    def __init__(self) -> None:
+        self._by_route: dict[tuple[str, str], _Average] = {}
+        self._by_service: dict[str, _Average] = {}
 
-    def expected_latency(
+    def estimate(
         self,
         *,
         route: Route,
         service: str,
         load: LoadReport,
         in_transit: int = 0,
-    ) -> float:
-        """Expected time at the server, queueing included, in seconds."""
-        own_time = self.processing_time(route=route, service=service)
-        others_time = self._by_service.get(service, own_time)
+        round_trip: float = 0.0,
+        penalty: float = 1.0,
+    ) -> LatencyEstimate:
+        """Estimate the latency at a server, queueing included.
+
+        `in_transit` counts requests that the load report may not include
+        yet, `round_trip` is in seconds.
+        """
+        initial = route.target_latency * INITIAL_LATENCY_SHARE
+        own = self._by_route.get((route.name, service))
+        others = self._by_service.get(service)
+        own_time = initial if own is None else own.value
+        others_time = own_time if others is None else others.value
+        aged_own_time = initial if own is None else own.aged(initial)
+        aged_others_time = (
+            aged_own_time if others is None else others.aged(aged_own_time)
+        )
         slowdown = slowdown_factor(load, in_transit=in_transit)
         queued = queued_per_unit(load, in_transit=in_transit)
-        return slowdown * (own_time + queued * others_time)
+        return LatencyEstimate(
+            own_time,
+            slowdown * (own_time + queued * others_time) + round_trip,
+            slowdown * (aged_own_time + queued * aged_others_time)
+            + round_trip,
+            penalty,
+        )
 
     def observe(
         self,
@@ -82,16 +151,27 @@
         route: Route,
         service: str,
         latency: float,
-        expected_latency: float,
+        estimate: LatencyEstimate,
     ) -> None:
-        """Update the averages by a response; both times are in seconds."""
-        if expected_latency <= 0:
+        """Update the averages by a response; `latency` is in seconds.
+
+        The sample follows from the estimate at the time of the choice. If it
+        followed from the current average, the responses of requests that
+        were delayed together would multiply the average by each other.
+        """
+        if estimate.latency <= 0:
             return
-        own_time = self.processing_time(route=route, service=service)
         # The ratio is clamped to 0.3 to 3, so that one outlier has little
         # effect on the average.
-        sample = own_time * min(3.0, max(0.3, latency / expected_latency))
+        ratio = min(3.0, max(0.3, latency / estimate.latency))
+        sample = estimate.processing_time * ratio
         key = (route.name, service)
-        self._by_route[key] = own_time + EWMA_WEIGHT * (sample - own_time)
-        average = self._by_service.get(service, sample)
-        self._by_service[service] = average + EWMA_WEIGHT * (sample - average)
+        if key not in self._by_route:
+            self._by_route[key] = _Average(
+                route.target_latency * INITIAL_LATENCY_SHARE
+            )
+        self._by_route[key].add(sample)
+        if service not in self._by_service:
+            self._by_service[service] = _Average(sample)
+        else:
+            self._by_service[service].add(sample)
--- /dev/null
+++ b/tests/choice/test_latency_estimates.py
@@ -0,0 +1,211 @@
+"""Expected latencies, and the refusals that rest on them, over time."""
+
+import asyncio
+import random
+
+from choice_world import backend_server
+from choice_world import COLD_RATE_PER_S
+from choice_world import load_report
+from choice_world import ROUTE
+from choice_world import World
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from teaselrock.coordination.choice import LatencyEstimates
+from teaselrock.standins.clock import run_paused
+from teaselrock.state import AttemptOutcome
+from teaselrock.state.routes import RoutingTable
+from teaselrock.state.routes import ServiceProfile
+
+USUAL_LATENCY_S = 0.2
+# Time in which each route must be served again once servers are fast again.
+RECOVERY_S = 6.0
+
+
+class Callers:
+    """Requests of a route with a more urgent one beside it.
+
+    `latency_s` is the time that a server takes, which load reports do not
+    show.
+    """
+
+    def __init__(self) -> None:
+        self.world = World(
+            {
+                backend_server('a'): load_report(),
+                backend_server('b'): load_report(),
+            }
+        )
+        urgent = ROUTE._replace(name='u', prefix='/u/', priority=0)
+        profile = ServiceProfile('desk', '/h', 200, COLD_RATE_PER_S)
+        self.world.view.put_table_in_force(
+            RoutingTable(2, (ROUTE, urgent), {'desk': profile})
+        )
+        self.latency_s = USUAL_LATENCY_S
+        self.sent = 0
+        self.refused = 0
+        self.evidence: list[str] = []
+
+    def reset_counts(self) -> None:
+        self.sent = 0
+        self.refused = 0
+        self.evidence.clear()
+
+    async def call(self) -> None:
+        result = await self.world.acquire()
+        if result.is_error():
+            self.refused += 1
+            return
+        self.sent += 1
+        self.evidence.append(result.ok.evidence)
+        latency_s = self.latency_s
+        await asyncio.sleep(latency_s)
+        result.ok.release(outcome=AttemptOutcome(latency_s))
+
+    async def call_for(self, seconds: float, rng: random.Random) -> None:
+        """Start requests at random times, 20 per second on average."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < ends_at:
+                tasks.create_task(self.call())
+                await asyncio.sleep(rng.expovariate(20.0))
+
+
+def test_route_is_served_after_its_responses_were_delayed_together() -> None:
+    """Guards against an estimate above all latencies that were measured.
+
+    The responses of all requests under way during a freeze are late alike.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        await callers.call_for(5.0, random.Random(1))
+        callers.latency_s = 2.5
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(40):
+                tasks.create_task(callers.call())
+        callers.latency_s = USUAL_LATENCY_S
+        await callers.call_for(RECOVERY_S, random.Random(2))
+        callers.reset_counts()
+        await callers.call_for(10.0, random.Random(3))
+        assert callers.sent > 100
+        assert callers.refused == 0
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('slowdown', [3.0, 5.0, 9.0])
+def test_route_is_served_after_its_servers_were_slow(slowdown: float) -> None:
+    """Guards against a refusal that prevents the responses to correct it.
+
+    Servers are slow for 8 s, and then as fast as before.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        await callers.call_for(5.0, random.Random(1))
+        callers.latency_s = USUAL_LATENCY_S * slowdown
+        await callers.call_for(8.0, random.Random(2))
+        callers.latency_s = USUAL_LATENCY_S
+        await callers.call_for(RECOVERY_S, random.Random(3))
+        callers.reset_counts()
+        await callers.call_for(10.0, random.Random(4))
+        assert callers.sent > 100
+        assert callers.refused == 0
+
+    run_paused(main())
+
+
+def test_slow_servers_get_few_requests_that_find_out() -> None:
+    """Guards against requests that delay urgent ones at slow servers.
+
+    While servers are as slow as they were, one request per second may find
+    out.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        callers.latency_s = USUAL_LATENCY_S * 9
+        await callers.call_for(10.0, random.Random(1))
+        callers.reset_counts()
+        await callers.call_for(20.0, random.Random(2))
+        assert 2 <= callers.sent <= 20
+        assert callers.refused > 300
+        assert all(text.endswith(',probe') for text in callers.evidence)
+
+    run_paused(main())
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    batches=st.lists(
+        st.lists(st.floats(0.01, 5.0), min_size=1, max_size=20),
+        min_size=1,
+        max_size=10,
+    ),
+    pause_s=st.floats(0.0, 5.0),
+)
+def test_estimate_stays_within_what_was_measured(
+    batches: list[list[float]], pause_s: float
+) -> None:
+    """Guards against estimates beyond the least and the greatest latency.
+
+    The requests of a batch are sent together, so each response is compared
+    with the estimate before all of them.
+    """
+
+    async def main() -> None:
+        estimates = LatencyEstimates()
+        known = [ROUTE.target_latency / 3]
+        for batch in batches:
+            sent = [
+                estimates.estimate(
+                    route=ROUTE, service='desk', load=load_report(), penalty=7
+                )
+                for _ in batch
+            ]
+            for latency, estimate in zip(batch, sent):
+                estimates.observe(
+                    route=ROUTE,
+                    service='desk',
+                    latency=latency,
+                    estimate=estimate,
+                )
+            known += batch
+            now = estimates.estimate(
+                route=ROUTE, service='desk', load=load_report()
+            )
+            assert min(known) - 1e-9 <= now.latency <= max(known) + 1e-9
+            await asyncio.sleep(pause_s)
+
+    run_paused(main())
+
+
+def test_estimate_without_samples_returns_to_the_initial_one() -> None:
+    """Guards against an average that keeps its weight without samples."""
+
+    async def main() -> None:
+        estimates = LatencyEstimates()
+        initial = estimates.estimate(
+            route=ROUTE, service='desk', load=load_report(6, 6)
+        )
+        for _ in range(200):
+            estimates.observe(
+                route=ROUTE,
+                service='desk',
+                latency=10.0,
+                estimate=estimates.estimate(
+                    route=ROUTE, service='desk', load=load_report()
+                ),
+            )
+        await asyncio.sleep(60.0)
+        aged = estimates.estimate(
+            route=ROUTE, service='desk', load=load_report(6, 6)
+        )
+        assert aged.latency > 10.0
+        assert aged.aged_latency == pytest.approx(initial.latency, rel=0.01)
+
+    run_paused(main())
