Count only the bytes of one head against its limit

Cause: the parser's count of received bytes began anew only with a segment that ended outside a head. If each segment ends inside the head of the next request, the heads of all requests add up.

Change: a segment in which a request ended is not counted for the next head, whose first byte in it is unknown. Fields that are complete are counted as before, so an endless head costs its limit and one segment.

--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -12,6 +12,9 @@
 
 from teaselrock.state.routes import CallerLimits
 
+# Bytes of a request line besides its target, at most. They count only while
+# the head is incomplete, so they must not make a difference.
+_REQUEST_LINE_EXTRA_BYTES: Final = 32
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -58,9 +61,11 @@
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._parsed_head_bytes = 0
+        # Bytes that are known to belong to the current head.
         self._received_head_bytes = 0
         self._is_in_head = False
         self._is_in_body = False
+        self._completed = 0
         self._expects_continue = False
         self._error: RequestError | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -91,7 +96,7 @@
         Raises `RequestError`; `take_complete_requests` then returns the
         complete requests before the rejected one.
         """
-        was_in_head = self._is_in_head
+        completed = self._completed
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -105,19 +110,18 @@
                 status=400, detail='malformed HTTP request'
             ) from error
         # httptools reports a field only when it is complete, so an endless
-        # field is caught by counting the received bytes.
-        if not was_in_head:
+        # field is caught by counting the received bytes. If a request ended
+        # in this segment, it is unknown where the next head begins, and its
+        # bytes are counted from the next segment on.
+        if not self._is_in_head or self._completed > completed:
             self._received_head_bytes = 0
-        self._received_head_bytes += len(data)
-        if self._is_in_head:
-            if self._received_head_bytes > self._limits.max_head_bytes:
-                raise RequestError(
-                    status=431,
-                    detail='request head exceeds '
-                    f'{self._limits.max_head_bytes} bytes',
-                )
         else:
-            self._received_head_bytes = 0
+            self._received_head_bytes += len(data)
+        if (
+            self._received_head_bytes
+            > self._limits.max_head_bytes + _REQUEST_LINE_EXTRA_BYTES
+        ):
+            raise self._head_error()
         return self.take_complete_requests()
 
     def take_complete_requests(self) -> list[CallerRequest]:
@@ -148,7 +152,11 @@
             return
         text = value.decode('utf-8', 'surrogateescape')
         if any(char in text for char in _FORBIDDEN_CHARS):
-            self._reject(400, 'line break or NUL in a header field')
+            self._reject(
+                RequestError(
+                    status=400, detail='line break or NUL in a header field'
+                )
+            )
         self._headers.append((name.decode('latin-1'), text))
         if name.lower() == b'expect' and value.lower() == b'100-continue':
             self._expects_continue = True
@@ -163,24 +171,18 @@
                 and value.isdigit()
                 and int(value) > self._limits.max_body_bytes
             ):
-                self._reject(
-                    413,
-                    'request body exceeds '
-                    f'{self._limits.max_body_bytes} bytes',
-                )
+                self._reject(self._body_error())
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
         self._body += data
         if len(self._body) > self._limits.max_body_bytes:
-            self._reject(
-                413,
-                f'request body exceeds {self._limits.max_body_bytes} bytes',
-            )
+            self._reject(self._body_error())
 
     def on_message_complete(self) -> None:
         """Called by httptools at the end of a request."""
         self._is_in_body = False
+        self._completed += 1
         self._requests.append(
             CallerRequest(
                 self._parser.get_method().decode('ascii'),
@@ -194,17 +196,26 @@
     def _count_head(self, size: int) -> None:
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits.max_head_bytes:
-            self._reject(
-                431,
-                f'request head exceeds {self._limits.max_head_bytes} bytes',
-            )
+            self._reject(self._head_error())
+
+    def _head_error(self) -> RequestError:
+        return RequestError(
+            status=431,
+            detail=f'request head exceeds {self._limits.max_head_bytes} bytes',
+        )
+
+    def _body_error(self) -> RequestError:
+        return RequestError(
+            status=413,
+            detail=f'request body exceeds {self._limits.max_body_bytes} bytes',
+        )
 
-    def _reject(self, status: int, detail: str) -> None:
+    def _reject(self, error: RequestError) -> None:
         """Stop parsing.
 
         httptools wraps the exceptions of callbacks, so `feed` raises the
         first error again.
         """
         if self._error is None:
-            self._error = RequestError(status=status, detail=detail)
+            self._error = error
         raise self._error
