Limit incomplete trailers and chunk extensions of requests

A caller could send a trailer or a chunk extension without end, and the process kept all of it: httptools reports a trailer only when it is complete, and the count of received bytes covered heads only.

Change: bytes of a body that follow its last part have the limit of a head. A segment in which a part of the body or the end of a request arrived is not counted, since an unknown part of it is framing.

Evidence: test_endless_part_is_rejected[trailer value] and [chunk extension] accept 1 MB on the parent commit and are rejected now.

--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -63,6 +63,9 @@
         self._parsed_head_bytes = 0
         # Bytes that are known to belong to the current head.
         self._received_head_bytes = 0
+        # Bytes in the current body that follow its last part, if known.
+        self._bytes_since_body = 0
+        self._has_body_part = False
         self._is_in_head = False
         self._is_in_body = False
         self._completed = 0
@@ -97,6 +100,8 @@
         complete requests before the rejected one.
         """
         completed = self._completed
+        was_in_body = self._is_in_body
+        self._has_body_part = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -109,20 +114,46 @@
             raise RequestError(
                 status=400, detail='malformed HTTP request'
             ) from error
-        # httptools reports a field only when it is complete, so an endless
-        # field is caught by counting the received bytes. If a request ended
-        # in this segment, it is unknown where the next head begins, and its
-        # bytes are counted from the next segment on.
-        if not self._is_in_head or self._completed > completed:
+        self._count_incomplete(
+            len(data),
+            was_in_body=was_in_body,
+            has_completed=self._completed > completed,
+        )
+        return self.take_complete_requests()
+
+    def _count_incomplete(
+        self, size: int, *, was_in_body: bool, has_completed: bool
+    ) -> None:
+        """Limit heads, chunk extensions and trailers before they are complete.
+
+        httptools keeps them until then and calls nothing, so the received
+        bytes are counted. If a request ended in this segment, it is unknown
+        where the next one begins, and its bytes are counted from the next
+        segment on.
+        """
+        if has_completed or not self._is_in_head:
             self._received_head_bytes = 0
         else:
-            self._received_head_bytes += len(data)
+            self._received_head_bytes += size
         if (
             self._received_head_bytes
             > self._limits.max_head_bytes + _REQUEST_LINE_EXTRA_BYTES
         ):
             raise self._head_error()
-        return self.take_complete_requests()
+        if (
+            has_completed
+            or self._has_body_part
+            or not (was_in_body and self._is_in_body)
+        ):
+            self._bytes_since_body = 0
+        else:
+            self._bytes_since_body += size
+        if self._bytes_since_body > self._limits.max_head_bytes:
+            raise RequestError(
+                status=431,
+                detail='chunk extension or trailer exceeds '
+                f'{self._limits.max_head_bytes} bytes',
+            )
 
     def take_complete_requests(self) -> list[CallerRequest]:
         """Requests that became complete since the last call."""
@@ -175,6 +206,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
+        self._has_body_part = True
         self._body += data
         if len(self._body) > self._limits.max_body_bytes:
             self._reject(self._body_error())
--- a/tests/transport/test_request_parser.py
+++ b/tests/transport/test_request_parser.py
@@ -80,7 +80,7 @@
 @settings(max_examples=400, deadline=None, derandomize=True)
 @given(
     requests=st.lists(_requests(), min_size=1, max_size=6),
-    sizes=st.lists(st.integers(1, 400), min_size=1, max_size=7),
+    sizes=st.lists(st.integers(1, 1000), min_size=1, max_size=7),
 )
 def test_segments_do_not_change_the_requests(
     requests: list[bytes], sizes: list[int]
@@ -114,6 +114,18 @@
         pytest.param(b'GET / HTTP/1.1\r\nX: ', b'v', 431, id='field value'),
         pytest.param(b'GET / HTTP/1.1\r\nX:', b' ', 431, id='spaces'),
         pytest.param(b'GET / HTTP/1.1\r\n', b'X: v\r\n', 431, id='fields'),
+        pytest.param(
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;',
+            b'e',
+            431,
+            id='chunk extension',
+        ),
+        pytest.param(
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ',
+            b't',
+            431,
+            id='trailer value',
+        ),
         pytest.param(
             b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
             b'X: t\r\n',
