Let all reads of a request head share its time limit

A caller that sent one byte of a head from time to time was never cut off: the limit (header_timeout_ms) began anew with each read.

Change: the connection adds up the time of its reads of one head. Time in which it does not read, since earlier requests have to end first, is not counted, and each head has a limit of its own.

Evidence: test_head_that_arrives_in_small_parts_is_timed runs into its own limit of 20 s on the parent commit and gets 408 now. test_each_head_has_its_own_time_limit passes before and after.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -91,6 +91,10 @@
         self._error: RequestError | None = None
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
+        # The request whose head is being read, by the parser's count, and
+        # the time that reading it has taken, in seconds.
+        self._timed_request = 0
+        self._head_read_s = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -177,16 +181,7 @@
         """Read within the time limits; b'' if the connection has to end."""
         limits = self._handler.limits
         if self._parser.is_in_head:
-            try:
-                async with asyncio.timeout(limits.head_timeout):
-                    return await self._reader.read(READ_BYTES)
-            except TimeoutError:
-                self._error = RequestError(
-                    status=408,
-                    detail='request head was not complete after '
-                    f'{limits.head_timeout:g} s',
-                )
-                return b''
+            return await self._read_head(limits)
         while True:
             try:
                 async with asyncio.timeout(limits.idle_timeout):
@@ -195,6 +190,32 @@
                 if not self._pending:
                     return b''
 
+    async def _read_head(self, limits: CallerLimits) -> bytes:
+        """Read more of a head; b'' if it takes too long.
+
+        All reads of one head share its time limit. Time in which nothing is
+        read, since earlier requests have to end first, does not count.
+        """
+        if self._parser.begun != self._timed_request:
+            self._timed_request = self._parser.begun
+            self._head_read_s = 0.0
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        try:
+            async with asyncio.timeout(
+                max(0.0, limits.head_timeout - self._head_read_s)
+            ):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            self._error = RequestError(
+                status=408,
+                detail='request head was not complete after '
+                f'{limits.head_timeout:g} s',
+            )
+            return b''
+        finally:
+            self._head_read_s += loop.time() - started_at
+
     async def _start_request(self, request: CallerRequest) -> None:
         """Start to serve a request, after earlier ones if it must wait.
 
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -68,6 +68,7 @@
         self._has_body_part = False
         self._is_in_head = False
         self._is_in_body = False
+        self._begun = 0
         self._completed = 0
         self._expects_continue = False
         self._error: RequestError | None = None
@@ -83,6 +84,11 @@
         """Whether a request has begun and is not complete."""
         return self._is_in_head or self._is_in_body
 
+    @property
+    def begun(self) -> int:
+        """Number of requests that have begun."""
+        return self._begun
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Set the limits of the following requests."""
         self._limits = limits
@@ -163,6 +169,7 @@
 
     def on_message_begin(self) -> None:
         """Called by httptools before a request line."""
+        self._begun += 1
         self._target = b''
         self._headers = []
         self._body = bytearray()
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -329,6 +329,56 @@
     _run(scenario)
 
 
+def test_head_that_arrives_in_small_parts_is_timed() -> None:
+    """Guards against callers that hold a connection by single bytes.
+
+    Each part comes within the time limit of a whole head.
+    """
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        async def send_parts() -> None:
+            client.writer.write(b'GET / HTTP/1.1\r\nX: ')
+            while True:
+                client.writer.write(b'x')
+                await asyncio.sleep(LIMITS.head_timeout / 5)
+
+        sending = asyncio.create_task(send_parts())
+        try:
+            assert await client.read_response() == (408, b'', True)
+        finally:
+            sending.cancel()
+
+    _run(scenario)
+
+
+def test_each_head_has_its_own_time_limit() -> None:
+    """Guards against 408 for a head because of those before it.
+
+    Together they take longer than the limit, and the connection is not read
+    while the response to a POST is waited for.
+    """
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        for part in range(20):
+            if part == 10:
+                client.send('/wait', method='POST')
+                client.send('/a', method='POST')
+            client.writer.write(b'GET /a HTTP/1.1\r\nHost: ')
+            await asyncio.sleep(LIMITS.head_timeout / 10)
+            client.writer.write(b'h\r\n\r\n')
+        await asyncio.sleep(LIMITS.head_timeout)
+        handler.release.set()
+        for _ in range(22):
+            status, _, _ = await client.read_response()
+            assert status == 200
+
+    _run(scenario)
+
+
 def test_both_framings_and_100_continue() -> None:
     """Guards against bodies that arrive changed or never arrive."""
 
