Keep the order of changes to one object in the relay

Cause: the response of the watch held "written, removed, written". The relay sent the written and the deleted objects as two lists, and followers applied all deletions last.

Change: the mirror reduces each change to the last state of each object before it is applied and relayed, so that both lists name an object once. The messages' encoding moves from relay.py to relayed_changes.py.

--- a/src/teaselrock/coordination/registry/mirror.py
+++ b/src/teaselrock/coordination/registry/mirror.py
@@ -84,7 +84,7 @@
             change.after > self._position or position.era != self._position.era
         ):
             return False
-        change = self._with_newer_values(change)
+        change = self._coalesced(change)
         if change.is_snapshot:
             self._entries.clear()
             self._changes.clear()
@@ -99,18 +99,25 @@
         self._on_change(change)
         return True
 
-    def _with_newer_values(self, change: Change[T]) -> Change[T]:
-        """The change with known values in place of older ones."""
-        entries = tuple(
-            entry
-            if entry.is_deleted or entry.name not in self._entries
-            else entry._replace(
-                value=self._newer(self._entries[entry.name].value, entry.value)
-            )
-            for entry in change.listing.entries
-        )
+    def _coalesced(self, change: Change[T]) -> Change[T]:
+        """The change with the last state of each object only.
+
+        A response of the store may hold several states of one object in
+        order, which a relayed change cannot express. An older value does not
+        replace a known one that was not deleted in between.
+        """
+        last: dict[str, ObjectEntry[T]] = {}
+        for entry in change.listing.entries:
+            known = last.pop(entry.name, None) or self._entries.get(entry.name)
+            if known is not None and not (
+                known.is_deleted or entry.is_deleted
+            ):
+                entry = entry._replace(
+                    value=self._newer(known.value, entry.value)
+                )
+            last[entry.name] = entry
         return change._replace(
-            listing=change.listing._replace(entries=entries)
+            listing=change.listing._replace(entries=tuple(last.values()))
         )
 
     def since(self, position: StorePosition) -> list[Change[T]]:
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -11,7 +11,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
-from typing import Any
 from typing import Final
 from typing import NamedTuple
 
@@ -19,19 +18,15 @@
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import InstanceRegistration
-from teaselrock.coordination.ports import ObjectEntry
-from teaselrock.coordination.ports import ObjectListing
 from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.ports import RelayLink
-from teaselrock.coordination.ports import StorePosition
 from teaselrock.coordination.registry.messages import FollowRequest
 from teaselrock.coordination.registry.messages import MirrorPositions
 from teaselrock.coordination.registry.messages import ServersChanged
 from teaselrock.coordination.registry.messages import TablesChanged
 from teaselrock.coordination.registry.messages import WatchHeartbeat
 from teaselrock.coordination.registry.messages import ZonesChanged
-from teaselrock.coordination.registry.mirror import Change
-from teaselrock.coordination.registry.mirror import Mirror
+from teaselrock.coordination.registry.relayed_changes import RelayedChanges
 from teaselrock.coordination.registry.sync import InstallationSync
 from teaselrock.coordination.registry.watch import StoreWatch
 
@@ -64,7 +59,6 @@
 
 # Serves a connection whose first message is not a `FollowRequest`.
 ServeChannel = Callable[[RelayChannel, NamedTuple], Awaitable[None]]
-_ChangeMessage = TablesChanged | ServersChanged | ZonesChanged
 
 
 class _ReceivedHeartbeat(NamedTuple):
@@ -112,7 +106,7 @@
         self._own = own
         self._serve_other = serve_other
         self._link = link
-        self._sync = sync
+        self._changes = RelayedChanges(sync=sync)
         self._watch = watch
         self._events = events
         self._ranked: tuple[InstanceRegistration, ...] = ()
@@ -269,7 +263,7 @@
         try:
             if channel is None:
                 return
-            self._request_changes(channel)
+            self._request_changes(channel, self._changes.positions)
             self._connected.add(entry.instance_id)
             while True:
                 message = await channel.receive()
@@ -281,8 +275,10 @@
                     )
                 elif isinstance(
                     message, (TablesChanged, ServersChanged, ZonesChanged)
-                ) and not self._apply(message):
-                    self._request_changes(channel)
+                ):
+                    missing = self._changes.receive(message)
+                    if missing is not None:
+                        self._request_changes(channel, missing)
         finally:
             if channel is not None:
                 channel.close()
@@ -302,16 +298,10 @@
             return RECONNECT_DELAY_STALE_S
         return RECONNECT_DELAY_S
 
-    def _request_changes(self, channel: RelayChannel) -> None:
-        channel.send(FollowRequest(self._own.instance_id, self._positions()))
-
-    def _apply(self, message: _ChangeMessage) -> bool:
-        """Apply a change; False if an earlier change is missing."""
-        if isinstance(message, TablesChanged):
-            return self._sync.tables.apply(_decode_change(message))
-        if isinstance(message, ServersChanged):
-            return self._sync.servers.apply(_decode_change(message))
-        return self._sync.zones_out.apply(_decode_change(message))
+    def _request_changes(
+        self, channel: RelayChannel, positions: MirrorPositions
+    ) -> None:
+        channel.send(FollowRequest(self._own.instance_id, positions))
 
     async def _serve_channel(self, channel: RelayChannel) -> None:
         """Serve one accepted connection until it ends."""
@@ -340,13 +330,15 @@
         if not self._watch.is_running:
             return
         now = asyncio.get_running_loop().time()
-        positions = self._positions()
+        positions = self._changes.positions
         heartbeat = WatchHeartbeat(
             self._own.instance_id, self._watch.is_connected, positions
         )
         for follower in tuple(self._followers):
             if follower.positions != positions:
-                self._send_changes(follower)
+                self._changes.send_since(
+                    channel=follower.channel, positions=follower.positions
+                )
                 follower.positions = positions
             if (
                 now - follower.heartbeat_at
@@ -355,31 +347,6 @@
                 follower.heartbeat_at = now
                 follower.channel.send(heartbeat)
 
-    def _send_changes(self, follower: _Follower) -> None:
-        sent = follower.positions
-        _send_since(
-            follower.channel, self._sync.tables, sent.tables, TablesChanged
-        )
-        _send_since(
-            follower.channel,
-            self._sync.servers,
-            sent.servers,
-            ServersChanged,
-        )
-        _send_since(
-            follower.channel,
-            self._sync.zones_out,
-            sent.zones_out,
-            ZonesChanged,
-        )
-
-    def _positions(self) -> MirrorPositions:
-        return MirrorPositions(
-            self._sync.tables.position,
-            self._sync.servers.position,
-            self._sync.zones_out.position,
-        )
-
 
 def watch_takeover_delay(*, rank: int, is_outage: bool) -> float:
     """Seconds without a usable watching instance until a rank takes over.
@@ -398,38 +365,3 @@
         + fast_ranks * RANK_DELAY_S
         + slow_ranks * SLOW_RANK_DELAY_S
     )
-
-
-def _send_since(
-    channel: RelayChannel,
-    mirror: Mirror[Any],
-    position: StorePosition,
-    message_type: Callable[..., NamedTuple],
-) -> None:
-    if mirror.position <= position:
-        return
-    for change in mirror.since(position):
-        entries = change.listing.entries
-        kept = [entry for entry in entries if not entry.is_deleted]
-        channel.send(
-            message_type(
-                change.after,
-                change.listing.position,
-                tuple(entry.name for entry in kept),
-                tuple(entry.value for entry in kept),
-                tuple(entry.name for entry in entries if entry.is_deleted),
-            )
-        )
-
-
-def _decode_change(message: _ChangeMessage) -> Change[Any]:
-    kept: list[ObjectEntry[Any]] = [
-        ObjectEntry(name, value)
-        for name, value in zip(message.names, message.values)
-    ]
-    deleted: list[ObjectEntry[Any]] = [
-        ObjectEntry(name, None, True) for name in message.deleted
-    ]
-    return Change(
-        message.after, ObjectListing((*kept, *deleted), message.position)
-    )
