Watch from the first page of a listing of several pages

A change to an object of an earlier page, made while a later page was read, was missed until the object changed again: the listing took the position of its last page, and the watch began there.

Change: a listing has the position of its first page. The watch returns the changes since then once more; the mirror keeps the last state of each object.

Evidence: test_change_between_two_pages_is_not_missed fails on the parent commit and passes now.

--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -63,13 +63,15 @@
     async def read(
         self, *, allow_stale: bool
     ) -> Result[ObjectListing[T], StoreError]:
-        """Read all pages of the list.
+        """Read all pages of the list, as of the position of the first one.
 
-        The platform bills a read that allows stale data at a tenth of a
-        current read.
+        Objects of further pages may be newer; a watch from this position
+        returns their changes again, and those of objects that were listed
+        before they changed. The platform bills a read that allows stale data
+        at a tenth of a current read.
         """
         entries: list[ObjectEntry[T]] = []
-        era: int | None = None
+        listed_from: StorePosition | None = None
         query: dict[str, str | int] = {}
         if allow_stale:
             query['serializable'] = 1
@@ -93,17 +95,18 @@
                 has_more = bool(page.get('has_more'))
             except MALFORMED_ERRORS as error:
                 return Error(_malformed_response(error))
-            if era not in (None, position.era):
+            if listed_from is None:
+                listed_from = position
+            if position.era != listed_from.era:
                 return Error(
                     StoreError(
                         StoreErrorKind.HISTORY_LOST,
                         'the store was restored between two pages',
                     )
                 )
-            era = position.era
             entries += page_entries
             if not has_more or not page_entries:
-                return Ok(ObjectListing(tuple(entries), position))
+                return Ok(ObjectListing(tuple(entries), listed_from))
             query['after'] = page_entries[-1].name
 
     async def wait_for_changes(
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -84,6 +84,8 @@
         self.forced_status: int | None = None
         self.drops_connections = False
         self.page_items = 2
+        # Called after a page of a list has been read.
+        self.on_page_sent: Callable[[], None] = lambda: None
         self.calls: list[str] = []
         self.http = HttpStandin(self._handle)
 
@@ -141,9 +143,9 @@
         if request.method == 'GET':
             if 'watch' in query:
                 return await self._watch(kind, query)
-            return _json_response(
-                200, self._list(kind, query.get('after', ''))
-            )
+            page = self._list(kind, query.get('after', ''))
+            self.on_page_sent()
+            return _json_response(200, page)
         body = json.loads(request.body)
         name = name or body['metadata']['name']
         exists = (kind, name) in self.objects
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,33 @@
     _run(scenario)
 
 
+def test_change_between_two_pages_is_not_missed() -> None:
+    """Guards against a watch that begins after a change it has not read.
+
+    An object of the first page is deleted while the second page is read.
+    """
+
+    async def scenario(store: PlatformStore, client: StoreClient) -> None:
+        for name in 'abc':
+            store.put('zones', name, {})
+
+        def delete_listed() -> None:
+            store.on_page_sent = lambda: None
+            store.delete('zones', 'a')
+
+        store.on_page_sent = delete_listed
+        source = _zone_source(client)
+        listed = await source.list_all()
+        assert [entry.name for entry in listed.ok.entries] == list('abc')
+        changes = await source.wait_for_changes(
+            after=listed.ok.position, wait=0.01
+        )
+        assert [entry.name for entry in changes.ok.entries] == ['a']
+        assert changes.ok.entries[0].is_deleted
+
+    _run(scenario)
+
+
 def test_changes_and_lost_history() -> None:
     """Guards against changes that are missed between two long polls.
 
