End load checks that are answered without end at once

A faulty server could use up the memory for responses with load checks alone: they had the size limits of a response to a request (16 MiB), though a load report has a few hundred bytes.

Change: a load check has limits of its own, 16 KiB for head and body.

--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -32,8 +32,10 @@
 from teaselrock.transport.dialect import ResponseInfo
 from teaselrock.transport.response_memory import HeldResponse
 from teaselrock.transport.response_memory import ResponseMemory
-from teaselrock.transport.response_parser import MAX_BODY_BYTES
+from teaselrock.transport.response_parser import LOAD_CHECK_LIMITS
+from teaselrock.transport.response_parser import REQUEST_LIMITS
 from teaselrock.transport.response_parser import ResponseError
+from teaselrock.transport.response_parser import ResponseLimits
 from teaselrock.transport.response_parser import ResponseParser
 from teaselrock.transport.response_reader import open_stream
 from teaselrock.transport.response_reader import READ_BYTES
@@ -100,9 +102,10 @@
         self, *, deadline: float
     ) -> Result[LoadReport, ExchangeFailure]:
         """Request a load report; the server runs no request for it."""
-        checked = await self.exchange(
-            content=self._dialect.load_check(server=self._server),
-            deadline=deadline,
+        checked = await self._exchange(
+            self._dialect.load_check(server=self._server),
+            deadline,
+            LOAD_CHECK_LIMITS,
         )
         if checked.is_error():
             return Error(checked.error._replace(verdict=Verdict.DID_NOT_RUN))
@@ -112,6 +115,11 @@
         self, *, content: RequestContent, deadline: float
     ) -> Result[BackendResponse, ExchangeFailure]:
         """Send one request and read its whole response."""
+        return await self._exchange(content, deadline, REQUEST_LIMITS)
+
+    async def _exchange(
+        self, content: RequestContent, deadline: float, limits: ResponseLimits
+    ) -> Result[BackendResponse, ExchangeFailure]:
         if not self.is_open:
             return Error(
                 ExchangeFailure(
@@ -150,7 +158,7 @@
         try:
             async with asyncio.timeout_at(deadline):
                 self._writer.write(head + content.body)
-                result = await self._read_response(content, held)
+                result = await self._read_response(content, limits, held)
         except TimeoutError:
             return Error(
                 ExchangeFailure(
@@ -202,7 +210,10 @@
         return head.encode('utf-8', 'surrogateescape')
 
     async def _read_response(
-        self, content: RequestContent, held: HeldResponse
+        self,
+        content: RequestContent,
+        limits: ResponseLimits,
+        held: HeldResponse,
     ) -> Result[BackendResponse, ExchangeFailure]:
         """Read until the response to `content`.
 
@@ -211,7 +222,9 @@
         """
         unparsed = b''
         for skipped in range(MAX_LATE_RESPONSES + 1):
-            with closing(ResponseParser(method=content.method)) as response:
+            with closing(
+                ResponseParser(method=content.method, limits=limits)
+            ) as response:
                 failure = await self._receive(response, unparsed, held)
                 if failure is not None:
                     return Error(failure)
@@ -280,7 +293,7 @@
                     FailureKind.INVALID_RESPONSE,
                     Verdict.MAY_HAVE_RUN,
                     f'response body of {self._server.server_id} exceeds '
-                    f'{MAX_BODY_BYTES} bytes',
+                    f'{response.limits.body} bytes',
                 )
             if response.is_complete:
                 return None
--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -7,18 +7,33 @@
 """
 
 from typing import Final
+from typing import NamedTuple
 
 import httptools
 
 from teaselrock.protocol import fields
 
-MAX_BODY_BYTES: Final = 16 * 1024 * 1024
-# Also the most bytes that may follow each other without a byte of the body:
-# interim heads, chunk extensions, trailers.
-MAX_HEAD_BYTES: Final = 64 * 1024
-# Bytes of a whole response. The framing of small chunks may be as large as
-# their content.
-MAX_RESPONSE_BYTES: Final = 2 * MAX_BODY_BYTES
+
+class ResponseLimits(NamedTuple):
+    """Size limits of one response, in bytes.
+
+    `head` is also the most that may follow without a byte of the body:
+    interim heads, chunk extensions, trailers. `total` covers everything,
+    since the framing of small chunks may be as large as their content.
+    """
+
+    head: int
+    body: int
+    total: int
+
+
+REQUEST_LIMITS: Final = ResponseLimits(
+    head=64 * 1024, body=16 * 1024 * 1024, total=32 * 1024 * 1024
+)
+# A load report is in the head; servers may add a short text.
+LOAD_CHECK_LIMITS: Final = ResponseLimits(
+    head=16 * 1024, body=16 * 1024, total=32 * 1024
+)
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -29,7 +44,10 @@
 class ResponseParser:
     """Builds one response from the callbacks of httptools."""
 
-    def __init__(self, *, method: str) -> None:
+    def __init__(
+        self, *, method: str, limits: ResponseLimits = REQUEST_LIMITS
+    ) -> None:
+        self._limits = limits
         self._is_head = method == 'HEAD'
         self._status = 0
         self._headers: list[tuple[str, str]] = []
@@ -44,6 +62,11 @@
         self._raw = b''
         self._parser = httptools.HttpResponseParser(self)
 
+    @property
+    def limits(self) -> ResponseLimits:
+        """Size limits of the response."""
+        return self._limits
+
     @property
     def status(self) -> int:
         """HTTP status, 0 until the head of the final response is complete."""
@@ -75,8 +98,8 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether the body exceeds `MAX_BODY_BYTES`."""
-        return len(self._body) > MAX_BODY_BYTES
+        """Whether the body exceeds its limit."""
+        return len(self._body) > self._limits.body
 
     @property
     def is_reusable(self) -> bool:
@@ -117,7 +140,7 @@
 
         Raises `ResponseError` or `httptools.HttpParserError`.
         """
-        if len(self._raw) <= MAX_HEAD_BYTES:
+        if len(self._raw) <= self._limits.head:
             self._raw += data
         body_bytes = len(self._body)
         try:
@@ -137,13 +160,13 @@
             self._check_size()
 
     def _check_size(self) -> None:
-        if self._bytes_since_body > MAX_HEAD_BYTES:
+        if self._bytes_since_body > self._limits.head:
             part = 'trailer or chunk head' if self._has_head else 'head'
             raise ResponseError(
-                f'response {part} exceeds {MAX_HEAD_BYTES} bytes'
+                f'response {part} exceeds {self._limits.head} bytes'
             )
-        if self._total_bytes > MAX_RESPONSE_BYTES:
-            raise ResponseError(f'response exceeds {MAX_RESPONSE_BYTES} bytes')
+        if self._total_bytes > self._limits.total:
+            raise ResponseError(f'response exceeds {self._limits.total} bytes')
 
     def field(self, name: str) -> str | None:
         """First value of a header field, None if it is missing."""
--- /dev/null
+++ b/tests/platform/test_endless_bytes.py
@@ -0,0 +1,344 @@
+"""Endless bytes from servers and callers, at a real gateway process.
+
+A part of the servers of one service, or some callers, send without end; the
+gateway's memory is that of the users' smallest and usual machines.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import json
+import os
+import pathlib
+import sys
+from typing import Any
+
+from gateway_world import ROUTE
+from gateway_world import routes_spec
+from platform_world import PlatformServer
+from platform_world import PlatformStore
+import pytest
+
+from free_ports import find_free_ports
+from teaselrock.platform import headers
+
+ROOT = pathlib.Path(__file__).parents[2]
+SERVERS = 12
+FAULTY = SERVERS // 4
+CALLERS = 30
+REQUESTS_PER_CALLER = 20
+ENDLESS_CALLERS = 30
+BLOCK = 64 * 1024
+MIB = 1024 * 1024
+# Requests whose server and caller are sound that have to be served.
+SERVED_SHARE = 0.99
+RUN_TIMEOUT_S = 120
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# What a server sends first, and what it repeats without end.
+ENDLESS_RESPONSES = {
+    'head': (b'HTTP/1.1 200 OK\r\nX: ', b'x' * BLOCK),
+    'interim heads': (b'', b'HTTP/1.1 103 E\r\nX: y\r\n\r\n' * 2500),
+    'body': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * BLOCK),
+    'chunks': (CHUNKED_HEAD, b'8000\r\n' + b'x' * 0x8000 + b'\r\n'),
+    'extension': (CHUNKED_HEAD + b'5;', b'x' * BLOCK),
+    'trailer': (CHUNKED_HEAD + b'1\r\nz\r\n0\r\nX: ', b'x' * BLOCK),
+    'no answer': (b'', b'\x00\xff' * (BLOCK // 2)),
+}
+POST_HEAD = b'POST /x/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+# The same for a caller.
+ENDLESS_REQUESTS = {
+    'head': (b'GET /x/1 HTTP/1.1\r\nX: ', b'x' * BLOCK),
+    'extension': (POST_HEAD + b'5;', b'x' * BLOCK),
+    'trailer': (POST_HEAD + b'1\r\nz\r\n0\r\nX: ', b'x' * BLOCK),
+    'empty lines': (b'', b'\r\n' * (BLOCK // 2)),
+}
+
+
+async def _send_without_end(
+    writer: asyncio.StreamWriter, first: bytes, repeated: bytes
+) -> None:
+    with contextlib.suppress(OSError):
+        writer.write(first)
+        while not writer.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+
+
+class EndlessServer(PlatformServer):
+    """Server that answers requests, or its load checks too, without end."""
+
+    def __init__(
+        self, server_id: str, *, part: str, answers_checks: bool
+    ) -> None:
+        super().__init__(server_id)
+        self.part = part
+        self.answers_checks = answers_checks
+        self.endless_count = 0
+        self.listener: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
+        port = self.listener.sockets[0].getsockname()[1]
+        self.http.address = f'127.0.0.1:{port}'
+        return self.http.address
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                if not (self.answers_checks and b' /health ' in head):
+                    break
+                lines = (
+                    'HTTP/1.1 200 OK',
+                    f'{headers.SERVER_ID}: {self.server_id}',
+                    f'{headers.SERVER_LOAD}: 0,0,3,100',
+                    'Content-Length: 0',
+                )
+                writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+            self.endless_count += 1
+            await _send_without_end(writer, *ENDLESS_RESPONSES[self.part])
+        writer.close()
+
+
+class GatewayProcess:
+    """A gateway as the deploy file starts it, and what it uses."""
+
+    def __init__(self, *, work_dir: pathlib.Path, memory_mb: int) -> None:
+        self.work_dir = work_dir
+        self.memory_mb = memory_mb
+        self.store = PlatformStore()
+        self.store.page_items = 500
+        self.ports = find_free_ports(3)
+        self.servers: list[PlatformServer] = []
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, servers: list[PlatformServer]) -> None:
+        store_address = await self.store.http.start()
+        other = {
+            **ROUTE,
+            'name': 'other',
+            'path_prefix': '/y/',
+            'service': 'other',
+        }
+        spec = routes_spec('0000000a', ROUTE, other)
+        spec['services'].append({'name': 'other', 'cold_per_s': 6.3})
+        self.store.put('config', 'main', spec)
+        for server in servers:
+            await self.add(server, service='desk')
+        for number in range(SERVERS):
+            await self.add(PlatformServer(f'o-{number}'), service='other')
+        path = self.work_dir / 'settings.json'
+        path.write_text(json.dumps(self.settings(store_address)), 'utf-8')
+        with (self.work_dir / 'gateway.log').open('wb') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / 'deploy/gateway.py'),
+                env={**os.environ, 'TEASELROCK_SETTINGS': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        while not await self.is_ready():
+            assert self.process.returncode is None
+            await asyncio.sleep(0.05)
+
+    async def add(self, server: PlatformServer, *, service: str) -> None:
+        if isinstance(server, EndlessServer):
+            await server.start()
+        else:
+            await server.http.start()
+        self.servers.append(server)
+        self.store.put(
+            'servers',
+            server.server_id,
+            server.entry(service=service, slots=64),
+        )
+
+    def settings(self, store_address: str) -> dict[str, Any]:
+        return {
+            'node_name': 'edge-1',
+            'ip': '127.0.0.1',
+            'zone': 'east-a',
+            'region': 'east',
+            'zones': {'east-a': 'east'},
+            'listen': {
+                'front': f'127.0.0.1:{self.ports[0]}',
+                'readiness_addr': f'127.0.0.1:{self.ports[1]}',
+            },
+            'port_range': [self.ports[2], self.ports[2] + 1],
+            'limits': {'memory_mb': self.memory_mb},
+            'bounds': ['grace_s=6'],
+            'bootstrap': True,
+            'platform': {'address': store_address},
+        }
+
+    async def is_ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', self.ports[1]
+            )
+        except OSError:
+            return False
+        writer.write(b'GET /ready HTTP/1.1\r\nHost: h\r\n\r\n')
+        line = await reader.readline()
+        writer.close()
+        return b' 200 ' in line
+
+    @property
+    def peak_bytes(self) -> int:
+        """Largest resident size since the process started."""
+        assert self.process is not None
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        (line,) = (
+            line for line in status.splitlines() if line.startswith('VmHWM:')
+        )
+        return int(line.split()[1]) * 1024
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection('127.0.0.1', self.ports[0])
+
+    async def stop(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self.store.http.stop()
+        for server in self.servers:
+            server.http.stop()
+            if isinstance(server, EndlessServer) and server.listener:
+                server.listener.close()
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    work_dir: pathlib.Path, memory_mb: int, servers: list[PlatformServer]
+) -> AsyncIterator[GatewayProcess]:
+    gateway = GatewayProcess(work_dir=work_dir, memory_mb=memory_mb)
+    try:
+        async with asyncio.timeout(RUN_TIMEOUT_S):
+            await gateway.start(servers)
+            yield gateway
+    finally:
+        await gateway.stop()
+
+
+async def _call(gateway: GatewayProcess, path: str, number: int) -> list[int]:
+    """Statuses of the requests of one caller; 0 for a lost connection."""
+    statuses: list[int] = []
+    reader, writer = await gateway.connect()
+    for count in range(REQUESTS_PER_CALLER):
+        writer.write(
+            f'GET {path} HTTP/1.1\r\nHost: a.example\r\n'
+            f'{headers.REQUEST_ID}: {number}-{count}\r\n'
+            f'{headers.DEADLINE_MS}: 1500\r\n\r\n'.encode()
+        )
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            fields = dict(
+                line.lower().split(': ', 1)
+                for line in head.split('\r\n')[1:]
+                if line
+            )
+            await reader.readexactly(int(fields['content-length']))
+            statuses.append(int(head.split()[1]))
+        except (OSError, asyncio.IncompleteReadError):
+            statuses.append(0)
+            writer.close()
+            reader, writer = await gateway.connect()
+        await asyncio.sleep(0.05)
+    writer.close()
+    return statuses
+
+
+async def _call_all(gateway: GatewayProcess) -> None:
+    """Use both services; check those of the sound one, and the process."""
+    results = await asyncio.gather(
+        *(
+            _call(gateway, path, 1000 * index + number)
+            for index, path in enumerate(('/x/1', '/y/1'))
+            for number in range(CALLERS)
+        )
+    )
+    assert gateway.process is not None
+    assert gateway.process.returncode is None
+    print(f'peak {gateway.peak_bytes / MIB:.0f} MiB')
+    sound = [status for result in results[CALLERS:] for status in result]
+    assert sound.count(200) >= SERVED_SHARE * len(sound)
+    assert gateway.peak_bytes < gateway.memory_mb * MIB / 2
+
+
+def _parts(parts: dict[str, Any]) -> Callable[[Any], Any]:
+    return pytest.mark.parametrize('part', parts)
+
+
+@pytest.mark.parametrize('memory_mb', [200, 300])
+@pytest.mark.parametrize('answers_checks', [True, False])
+def test_endless_responses_cost_no_process(
+    tmp_path: pathlib.Path, answers_checks: bool, memory_mb: int
+) -> None:
+    """Guards against a process that ends, since it keeps all bytes.
+
+    A quarter of a service's servers send without end, each in another way,
+    in response to requests only or also to load checks.
+    """
+
+    async def main() -> None:
+        parts = [*ENDLESS_RESPONSES]
+        for index in range(0, len(parts), FAULTY):
+            faulty = [
+                EndlessServer(
+                    f'f-{number}', part=part, answers_checks=answers_checks
+                )
+                for number, part in enumerate(parts[index : index + FAULTY])
+            ]
+            sound = [
+                PlatformServer(f'i-{number}')
+                for number in range(SERVERS - len(faulty))
+            ]
+            async with _running(
+                tmp_path, memory_mb, [*faulty, *sound]
+            ) as gateway:
+                await _call_all(gateway)
+                assert all(server.endless_count for server in faulty)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('memory_mb', [200, 300])
+def test_endless_requests_cost_no_process(
+    tmp_path: pathlib.Path, memory_mb: int
+) -> None:
+    """Guards against a process that ends, since it keeps all bytes.
+
+    Callers send parts of requests without end, each in another way.
+    """
+
+    async def send_endless(gateway: GatewayProcess, part: str) -> None:
+        while True:
+            reader, writer = await gateway.connect()
+            drain = asyncio.create_task(reader.read(-1))
+            await _send_without_end(writer, *ENDLESS_REQUESTS[part])
+            writer.close()
+            drain.cancel()
+            await asyncio.sleep(0.1)
+
+    async def main() -> None:
+        sound = [PlatformServer(f'i-{number}') for number in range(SERVERS)]
+        async with _running(tmp_path, memory_mb, sound) as gateway:
+            parts = [*ENDLESS_REQUESTS]
+            tasks = [
+                asyncio.create_task(
+                    send_endless(gateway, parts[number % len(parts)])
+                )
+                for number in range(ENDLESS_CALLERS)
+            ]
+            await _call_all(gateway)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(main())
--- a/tests/transport/test_backend_connection.py
+++ b/tests/transport/test_backend_connection.py
@@ -155,15 +155,16 @@
         'large head',
         b'HTTP/1.1 200 OK\r\n'
         + b'X: yyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n'
-        * response_parser.MAX_HEAD_BYTES,
+        * response_parser.REQUEST_LIMITS.head,
         RESET,
         False,
     ),
     Case(
         'large body',
         _response(
-            f'200 OK\r\nContent-Length: {response_parser.MAX_BODY_BYTES + 1}',
-            'x' * (response_parser.MAX_BODY_BYTES + 1),
+            '200 OK\r\nContent-Length: '
+            f'{response_parser.REQUEST_LIMITS.body + 1}',
+            'x' * (response_parser.REQUEST_LIMITS.body + 1),
         ),
         SHORT,
         False,
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -20,7 +20,10 @@
 from teaselrock.state import Verdict
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.dialect import DefaultBackendDialect
+from teaselrock.transport.response_memory import HeldResponse
 from teaselrock.transport.response_memory import ResponseMemory
+from teaselrock.transport.response_parser import LOAD_CHECK_LIMITS
+from teaselrock.transport.response_reader import READ_BYTES
 
 GET = RequestContent('GET', '/a', (), b'')
 # Half of the memory of the smallest machine of the users.
@@ -161,6 +164,42 @@
     assert memory.total_bytes == 0
 
 
+class PeakMemory(ResponseMemory):
+    """`ResponseMemory` that records its largest total."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.peak_bytes = 0
+
+    def on_added(self, response: HeldResponse, size: int) -> None:
+        super().on_added(response, size)
+        self.peak_bytes = max(self.peak_bytes, self.total_bytes)
+
+
+@pytest.mark.parametrize('part', ENDLESS)
+def test_endless_load_report_is_ended_at_once(part: str) -> None:
+    """Guards against load checks that read megabytes for a load report."""
+    memory = PeakMemory()
+
+    async def main() -> None:
+        connector = HttpConnector(
+            dialect=DefaultBackendDialect(), memory=memory
+        )
+        deadline = asyncio.get_running_loop().time() + DEADLINE_S
+        async with endless_server(*ENDLESS[part], server_id='s') as server:
+            connection = await connected(connector, server)
+            checked = await connection.check_load(deadline=deadline)
+            assert checked.is_error()
+            assert checked.error.kind is not FailureKind.TIMEOUT
+            assert not connection.is_open
+
+    asyncio.run(main())
+    late_responses = 2
+    assert memory.peak_bytes <= READ_BYTES + LOAD_CHECK_LIMITS.total * (
+        1 + late_responses
+    )
+
+
 def test_largest_response_of_the_heaviest_server_is_dropped() -> None:
     """Guards against a faulty server that costs others their responses."""
     dropped: list[str] = []
