Judge a readmitted server by new latencies only

A server of the own interface could stay ejected long after it was fast again, with little traffic: it kept its former latency when it was readmitted, and the next review ejected it again unless a request had been answered in between.

Change: the slow start after an ejection drops the former latencies.

Evidence: test_readmitted_server_is_not_ejected_by_former_latencies fails on the parent commit.

--- a/src/teaselrock/coordination/slots/limit.py
+++ b/src/teaselrock/coordination/slots/limit.py
@@ -105,8 +105,7 @@
         self._successes = 0
         self._state = ServerState.COLD
         self._reported_capacity = self._concurrency
-        self._samples = 0
-        self._baseline_latency_s = self._recent_latency_s = 0.0
+        self._drop_latencies()
 
     def restore(self, *, start_id: str, limit: int) -> None:
         """Restore the limit from a member's answer to a lease query.
@@ -125,9 +124,14 @@
             self.restart('')
 
     def slow_start(self) -> None:
-        """Begin the slow start again for the same start, after an ejection."""
+        """Begin the slow start again for the same start, after an ejection.
+
+        Former latencies are dropped: they would eject the server again
+        before it has responded to any request.
+        """
         self._limit = 1
         self._successes = 0
+        self._drop_latencies()
 
     def observe(self, *, outcomes: ServerOutcomes, now: float) -> None:
         """Adapt the limit to outcomes that a borrower reports."""
@@ -189,6 +193,10 @@
             self._successes -= successes_per_unit * self._limit
             self._limit += 1
 
+    def _drop_latencies(self) -> None:
+        self._samples = 0
+        self._baseline_latency_s = self._recent_latency_s = 0.0
+
     def _cut(self, now: float) -> None:
         self._successes = 0
         if now - self._last_cut >= CUT_INTERVAL_S:
--- a/tests/routing/test_routing_rules.py
+++ b/tests/routing/test_routing_rules.py
@@ -89,6 +89,38 @@
     assert not set(again) & set(readmitted)
 
 
+def test_readmitted_server_is_not_ejected_by_former_latencies() -> None:
+    """Guards against a server that stays ejected without new evidence.
+
+    One of four servers was slow. After its ejection it may not be chosen for
+    a while, so that its latency is still the former one.
+    """
+    detector = OutlierDetector()
+    limits = {f's{index}': AdaptiveLimit(concurrency=8) for index in range(4)}
+    for server_id, limit in limits.items():
+        latency_ms = 100.0 if server_id == 's0' else 5.0
+        limit.observe(
+            outcomes=ServerOutcomes(
+                server_id, 's', 1, latency_ms, 0, 0, 0, 's', 'warm', 8, 0
+            ),
+            now=0.0,
+        )
+
+    def review(now: float) -> tuple[list[str], list[str]]:
+        return detector.review(
+            latencies={
+                name: limit.latency_s for name, limit in limits.items()
+            },
+            now=now,
+        )
+
+    assert review(0.0) == (['s0'], [])
+    assert review(1.0) == ([], ['s0'])
+    limits['s0'].slow_start()
+    assert review(1.1) == ([], [])
+    assert limits['s0'].start_id == 's'
+
+
 def test_readings_lose_weight_with_age() -> None:
     """Guards against decisions on stale load reports."""
     readings = LoadReadings()
