--- a/src/teaselrock/coordination/choice/checked_slots.py
+++ b/src/teaselrock/coordination/choice/checked_slots.py
@@ -236,7 +236,8 @@
     ) -> Result[_Chosen, Refusal] | None:
         """Choose although the target latency is exceeded, or refuse.
 
-        None if each candidate is at its rate limit.
+        None if each candidate is at its rate limit. A request that becomes a
+        probe may be sent to any of them.
         """
         is_probe = False
         for candidate in ranked:
--- a/src/teaselrock/coordination/choice/latency_estimates.py
+++ b/src/teaselrock/coordination/choice/latency_estimates.py
@@ -126,7 +126,7 @@
         `in_transit` counts requests that the load report may not include
         yet, `round_trip` is in seconds.
         """
-        initial = route.target_latency * INITIAL_LATENCY_SHARE
+        initial = _initial_time(route)
         own = self._by_route.get((route.name, service))
         others = self._by_service.get(service)
         own_time = initial if own is None else own.value
@@ -165,13 +165,12 @@
         # effect on the average.
         ratio = min(3.0, max(0.3, latency / estimate.latency))
         sample = estimate.processing_time * ratio
-        key = (route.name, service)
-        if key not in self._by_route:
-            self._by_route[key] = _Average(
-                route.target_latency * INITIAL_LATENCY_SHARE
-            )
-        self._by_route[key].add(sample)
-        if service not in self._by_service:
-            self._by_service[service] = _Average(sample)
-        else:
-            self._by_service[service].add(sample)
+        self._by_route.setdefault(
+            (route.name, service), _Average(_initial_time(route))
+        ).add(sample)
+        self._by_service.setdefault(service, _Average(sample)).add(sample)
+
+
+def _initial_time(route: Route) -> float:
+    """Processing time that is assumed before the first response."""
+    return route.target_latency * INITIAL_LATENCY_SHARE
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -56,21 +56,24 @@
         both as written and as deleted; which came last is unknown, so a
         snapshot of this kind is requested.
         """
-        has_order = _has_order(message)
+        if not _has_order(message):
+            return self._positions_without(message)
         if isinstance(message, TablesChanged):
-            if not has_order:
-                return self.positions._replace(tables=NO_POSITION)
             applied = self._sync.tables.apply(_decode(message))
         elif isinstance(message, ServersChanged):
-            if not has_order:
-                return self.positions._replace(servers=NO_POSITION)
             applied = self._sync.servers.apply(_decode(message))
         else:
-            if not has_order:
-                return self.positions._replace(zones_out=NO_POSITION)
             applied = self._sync.zones_out.apply(_decode(message))
         return None if applied else self.positions
 
+    def _positions_without(self, message: ChangeMessage) -> MirrorPositions:
+        """The positions, as if the mirror of a message's kind were empty."""
+        if isinstance(message, TablesChanged):
+            return self.positions._replace(tables=NO_POSITION)
+        if isinstance(message, ServersChanged):
+            return self.positions._replace(servers=NO_POSITION)
+        return self.positions._replace(zones_out=NO_POSITION)
+
 
 def _has_order(message: ChangeMessage) -> bool:
     """Whether each object is named once, so that its last state is known."""
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -196,8 +196,8 @@
         All reads of one head share its time limit. Time in which nothing is
         read, since earlier requests have to end first, does not count.
         """
-        if self._parser.begun != self._timed_request:
-            self._timed_request = self._parser.begun
+        if self._parser.requests_begun != self._timed_request:
+            self._timed_request = self._parser.requests_begun
             self._head_read_s = 0.0
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -85,7 +85,7 @@
         return self._is_in_head or self._is_in_body
 
     @property
-    def begun(self) -> int:
+    def requests_begun(self) -> int:
         """Number of requests that have begun."""
         return self._begun
 
