--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -84,6 +84,7 @@
         # response is only expected after an orderly end.
         for cut in range(len(response) + (not ends_by_reset)):
             opened = await connector.connect(server=server, deadline=deadline)
+            assert opened.is_ok(), opened.error
             result = await opened.ok.exchange(
                 content=CONTENT, deadline=deadline
             )
