--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import contextlib
 import json
 import os
@@ -255,7 +254,10 @@
 
 
 async def _call_all(gateway: GatewayProcess) -> None:
-    """Use both services; check those of the sound one, and the process."""
+    """Use both services; check the sound one's responses and the process.
+
+    Half of the memory has to be left for bodies of proper requests.
+    """
     results = await asyncio.gather(
         *(
             _call(gateway, path, 1000 * index + number)
@@ -265,16 +267,11 @@
     )
     assert gateway.process is not None
     assert gateway.process.returncode is None
-    print(f'peak {gateway.peak_bytes / MIB:.0f} MiB')
     sound = [status for result in results[CALLERS:] for status in result]
     assert sound.count(200) >= SERVED_SHARE * len(sound)
     assert gateway.peak_bytes < gateway.memory_mb * MIB / 2
 
 
-def _parts(parts: dict[str, Any]) -> Callable[[Any], Any]:
-    return pytest.mark.parametrize('part', parts)
-
-
 @pytest.mark.parametrize('memory_mb', [200, 300])
 @pytest.mark.parametrize('answers_checks', [True, False])
 def test_endless_responses_cost_no_process(
@@ -320,10 +317,10 @@
     async def send_endless(gateway: GatewayProcess, part: str) -> None:
         while True:
             reader, writer = await gateway.connect()
-            drain = asyncio.create_task(reader.read(-1))
+            responses = asyncio.create_task(reader.read(-1))
             await _send_without_end(writer, *ENDLESS_REQUESTS[part])
             writer.close()
-            drain.cancel()
+            responses.cancel()
             await asyncio.sleep(0.1)
 
     async def main() -> None:
