--- a/tests/choice/test_latency_estimates.py
+++ b/tests/choice/test_latency_estimates.py
@@ -73,6 +73,15 @@
                 tasks.create_task(self.call())
                 await asyncio.sleep(rng.expovariate(20.0))
 
+    async def check_recovery(self) -> None:
+        """Make servers as fast as at first; the route has to be served."""
+        self.latency_s = USUAL_LATENCY_S
+        await self.call_for(RECOVERY_S, random.Random(3))
+        self.reset_counts()
+        await self.call_for(10.0, random.Random(4))
+        assert self.sent > 100
+        assert self.refused == 0
+
 
 def test_route_is_served_after_its_responses_were_delayed_together() -> None:
     """Guards against an estimate above all latencies that were measured.
@@ -87,12 +96,7 @@
         async with asyncio.TaskGroup() as tasks:
             for _ in range(40):
                 tasks.create_task(callers.call())
-        callers.latency_s = USUAL_LATENCY_S
-        await callers.call_for(RECOVERY_S, random.Random(2))
-        callers.reset_counts()
-        await callers.call_for(10.0, random.Random(3))
-        assert callers.sent > 100
-        assert callers.refused == 0
+        await callers.check_recovery()
 
     run_paused(main())
 
@@ -109,12 +113,7 @@
         await callers.call_for(5.0, random.Random(1))
         callers.latency_s = USUAL_LATENCY_S * slowdown
         await callers.call_for(8.0, random.Random(2))
-        callers.latency_s = USUAL_LATENCY_S
-        await callers.call_for(RECOVERY_S, random.Random(3))
-        callers.reset_counts()
-        await callers.call_for(10.0, random.Random(4))
-        assert callers.sent > 100
-        assert callers.refused == 0
+        await callers.check_recovery()
 
     run_paused(main())
 
--- a/tests/platform/gateway_world.py
+++ b/tests/platform/gateway_world.py
@@ -41,6 +41,25 @@
     }
 
 
+def gateway_settings(ports: list[int], store_address: str) -> dict[str, Any]:
+    """Settings with ports for callers, operators and instances."""
+    return {
+        'node_name': 'edge-1',
+        'ip': '127.0.0.1',
+        'zone': 'east-a',
+        'region': 'east',
+        'zones': {'east-a': 'east'},
+        'listen': {
+            'front': f'127.0.0.1:{ports[0]}',
+            'readiness_addr': f'127.0.0.1:{ports[1]}',
+        },
+        'port_range': [ports[2], ports[2] + 1],
+        'bounds': ['cold_overshoot=1.5', 'cold_slack=5', 'grace_s=4.2'],
+        'bootstrap': True,
+        'platform': {'address': store_address},
+    }
+
+
 class World:
     """The store, two backend servers and a gateway."""
 
@@ -52,21 +71,7 @@
 
     async def start(self, path: pathlib.Path) -> None:
         ports = find_free_ports(3)
-        settings = {
-            'node_name': 'edge-1',
-            'ip': '127.0.0.1',
-            'zone': 'east-a',
-            'region': 'east',
-            'zones': {'east-a': 'east'},
-            'listen': {
-                'front': f'127.0.0.1:{ports[0]}',
-                'readiness_addr': f'127.0.0.1:{ports[1]}',
-            },
-            'port_range': [ports[2], ports[2] + 1],
-            'bounds': ['cold_overshoot=1.5', 'cold_slack=5', 'grace_s=4.2'],
-            'bootstrap': True,
-            'platform': {'address': await self.store.http.start()},
-        }
+        settings = gateway_settings(ports, await self.store.http.start())
         path.write_text(json.dumps(settings), 'utf-8')
         self.store.put('config', 'main', routes_spec('0000000a', ROUTE, BUILD))
         for server in self.servers:
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -11,8 +11,8 @@
 import os
 import pathlib
 import sys
-from typing import Any
 
+from gateway_world import gateway_settings
 from gateway_world import ROUTE
 from gateway_world import routes_spec
 from platform_world import PlatformServer
@@ -136,7 +136,11 @@
         for number in range(SERVERS):
             await self.add(PlatformServer(f'o-{number}'), service='other')
         path = self.work_dir / 'settings.json'
-        path.write_text(json.dumps(self.settings(store_address)), 'utf-8')
+        settings = {
+            **gateway_settings(self.ports, store_address),
+            'limits': {'memory_mb': self.memory_mb},
+        }
+        path.write_text(json.dumps(settings), 'utf-8')
         with (self.work_dir / 'gateway.log').open('wb') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -161,24 +165,6 @@
             server.entry(service=service, slots=64),
         )
 
-    def settings(self, store_address: str) -> dict[str, Any]:
-        return {
-            'node_name': 'edge-1',
-            'ip': '127.0.0.1',
-            'zone': 'east-a',
-            'region': 'east',
-            'zones': {'east-a': 'east'},
-            'listen': {
-                'front': f'127.0.0.1:{self.ports[0]}',
-                'readiness_addr': f'127.0.0.1:{self.ports[1]}',
-            },
-            'port_range': [self.ports[2], self.ports[2] + 1],
-            'limits': {'memory_mb': self.memory_mb},
-            'bounds': ['grace_s=6'],
-            'bootstrap': True,
-            'platform': {'address': store_address},
-        }
-
     async def is_ready(self) -> bool:
         try:
             reader, writer = await asyncio.open_connection(
