--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,13 @@
         'the second write of its operator, which was then left out',
         seconds=12.0,
     ),
+    Seed(
+        6007,
+        'not the product by its logs: servers, store and callers, which share '
+        'the process of the soak, stood still together for about 2 s beside a '
+        'load average of 20 (KNOWN-RED.txt)',
+        seconds=12.0,
+    ),
 )
 
 
