Test recovery after any slow history and unread responses

The endless server of the test takes the place of the listener of its stand-in instead of special cases.

--- a/tests/choice/test_latency_estimates.py
+++ b/tests/choice/test_latency_estimates.py
@@ -16,12 +16,15 @@
 from teaselrock.coordination.choice import LatencyEstimates
 from teaselrock.standins.clock import run_paused
 from teaselrock.state import AttemptOutcome
+from teaselrock.state import FailureKind
 from teaselrock.state.routes import RoutingTable
 from teaselrock.state.routes import ServiceProfile
 
 USUAL_LATENCY_S = 0.2
 # Time in which each route must be served again once servers are fast again.
 RECOVERY_S = 6.0
+# The same after any history: `recovery_s` of the users' rules.
+LONGEST_RECOVERY_S = 15.0
 
 
 class Callers:
@@ -44,6 +47,7 @@
             RoutingTable(2, (ROUTE, urgent), {'desk': profile})
         )
         self.latency_s = USUAL_LATENCY_S
+        self.failure: FailureKind | None = None
         self.sent = 0
         self.refused = 0
         self.evidence: list[str] = []
@@ -60,9 +64,9 @@
             return
         self.sent += 1
         self.evidence.append(result.ok.evidence)
-        latency_s = self.latency_s
+        latency_s, failure = self.latency_s, self.failure
         await asyncio.sleep(latency_s)
-        result.ok.release(outcome=AttemptOutcome(latency_s))
+        result.ok.release(outcome=AttemptOutcome(latency_s, failure))
 
     async def call_for(self, seconds: float, rng: random.Random) -> None:
         """Start requests at random times, 20 per second on average."""
@@ -73,10 +77,10 @@
                 tasks.create_task(self.call())
                 await asyncio.sleep(rng.expovariate(20.0))
 
-    async def check_recovery(self) -> None:
+    async def check_recovery(self, *, after_s: float = RECOVERY_S) -> None:
         """Make servers as fast as at first; the route has to be served."""
         self.latency_s = USUAL_LATENCY_S
-        await self.call_for(RECOVERY_S, random.Random(3))
+        await self.call_for(after_s, random.Random(3))
         self.reset_counts()
         await self.call_for(10.0, random.Random(4))
         assert self.sent > 100
@@ -118,6 +122,73 @@
     run_paused(main())
 
 
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(
+    phases=st.lists(
+        st.tuples(st.floats(0.1, 5.0), st.floats(0.2, 20.0)),
+        min_size=1,
+        max_size=5,
+    ),
+    together=st.integers(0, 60),
+)
+def test_route_is_served_after_any_slow_history(
+    phases: list[tuple[float, float]], together: int
+) -> None:
+    """Guards against any history of latencies that ends service for good.
+
+    Servers change their speed, and requests start at random times or
+    together.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        for number, (seconds, slowdown) in enumerate(phases):
+            callers.latency_s = USUAL_LATENCY_S * slowdown
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(together):
+                    tasks.create_task(callers.call())
+                await callers.call_for(seconds, random.Random(number))
+        await callers.check_recovery(after_s=LONGEST_RECOVERY_S)
+
+    run_paused(main())
+
+
+def test_route_is_served_after_its_servers_were_very_slow() -> None:
+    """Guards against refusals by the slowdown that servers had before.
+
+    Servers take 16 times as long for some seconds.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        callers.latency_s = USUAL_LATENCY_S * 16
+        await callers.call_for(3.125, random.Random(0))
+        await callers.check_recovery()
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('failing_s', [1.0, 3.0, 8.0])
+def test_route_is_served_after_its_servers_timed_out(
+    failing_s: float,
+) -> None:
+    """Guards against refusals long after all servers have failed.
+
+    Each request times out for a while, and then servers are as before.
+    """
+
+    async def main() -> None:
+        callers = Callers()
+        await callers.call_for(5.0, random.Random(1))
+        callers.latency_s = 2.0
+        callers.failure = FailureKind.TIMEOUT
+        await callers.call_for(failing_s, random.Random(2))
+        callers.failure = None
+        await callers.check_recovery()
+
+    run_paused(main())
+
+
 def test_slow_servers_get_few_requests_that_find_out() -> None:
     """Guards against requests that delay urgent ones at slow servers.
 
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -17,10 +17,12 @@
 from gateway_world import routes_spec
 from platform_world import PlatformServer
 from platform_world import PlatformStore
+from platform_world import Response
 import pytest
 
 from free_ports import find_free_ports
 from teaselrock.platform import headers
+from teaselrock.transport.request_parser import CallerRequest
 
 ROOT = pathlib.Path(__file__).parents[2]
 SERVERS = 12
@@ -33,6 +35,9 @@
 MAX_TRIES = 10
 ENDLESS_CALLERS = 30
 BLOCK = 64 * 1024
+# Below the limit of a response, 16 MiB.
+LARGE_BODY = b'l' * (15 * 1024 * 1024)
+SLOW_CALLERS = 30
 MIB = 1024 * 1024
 # Share of the sound service's requests that have to be served.
 SERVED_SHARE = 0.99
@@ -69,23 +74,26 @@
             await writer.drain()
 
 
-class EndlessServer(PlatformServer):
-    """Server that answers requests, or its load checks too, without end."""
+class EndlessListener:
+    """Takes the place of a server's `HttpStandin`; responds without end."""
 
-    def __init__(
-        self, server_id: str, *, part: str, answers_checks: bool
-    ) -> None:
-        super().__init__(server_id)
+    def __init__(self, server_id: str, *, part: str, answers_checks: bool):
+        self.server_id = server_id
         self.part = part
         self.answers_checks = answers_checks
         self.endless_count = 0
+        self.address = ''
         self.listener: asyncio.Server | None = None
 
     async def start(self) -> str:
         self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
         port = self.listener.sockets[0].getsockname()[1]
-        self.http.address = f'127.0.0.1:{port}'
-        return self.http.address
+        self.address = f'127.0.0.1:{port}'
+        return self.address
+
+    def stop(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -107,6 +115,29 @@
         writer.close()
 
 
+class EndlessServer(PlatformServer):
+    """Server that answers requests, or its load checks too, without end."""
+
+    def __init__(
+        self, server_id: str, *, part: str, answers_checks: bool
+    ) -> None:
+        super().__init__(server_id)
+        self.http = EndlessListener(
+            server_id, part=part, answers_checks=answers_checks
+        )
+
+
+class LargeServer(PlatformServer):
+    """Server with large responses."""
+
+    async def _handle(self, request: CallerRequest) -> Response | None:
+        response = await super()._handle(request)
+        if response is None or request.target == '/health':
+            return response
+        status, fields, _ = response
+        return status, fields, LARGE_BODY
+
+
 class GatewayProcess:
     """A gateway as the deploy file starts it, and what it uses."""
 
@@ -154,10 +185,7 @@
             await asyncio.sleep(0.05)
 
     async def add(self, server: PlatformServer, *, service: str) -> None:
-        if isinstance(server, EndlessServer):
-            await server.start()
-        else:
-            await server.http.start()
+        await server.http.start()
         self.servers.append(server)
         self.store.put(
             'servers',
@@ -199,8 +227,6 @@
         self.store.http.stop()
         for server in self.servers:
             server.http.stop()
-            if isinstance(server, EndlessServer) and server.listener:
-                server.listener.close()
 
 
 @contextlib.asynccontextmanager
@@ -308,7 +334,7 @@
                 tmp_path, memory_mb, [*faulty, *sound]
             ) as gateway:
                 await _call_all(gateway)
-                assert all(server.endless_count for server in faulty)
+                assert all(server.http.endless_count for server in faulty)
 
     asyncio.run(main())
 
@@ -347,3 +373,33 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     asyncio.run(main())
+
+
+def test_unread_responses_stay_within_the_memory(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that ends, since callers read slowly.
+
+    One caller after the other requests a large response and reads only its
+    first byte, so that all responses are complete and unread.
+    """
+    memory_mb = 300
+
+    async def main() -> None:
+        large = [LargeServer(f'i-{number}') for number in range(SERVERS)]
+        async with _running(tmp_path, memory_mb, large) as gateway:
+            writers: list[asyncio.StreamWriter] = []
+            for number in range(SLOW_CALLERS):
+                reader, writer = await gateway.connect()
+                writers.append(writer)
+                writer.write(
+                    'GET /x/1 HTTP/1.1\r\nHost: a.example\r\n'
+                    f'{headers.REQUEST_ID}: slow-{number}\r\n\r\n'.encode()
+                )
+                await reader.readexactly(1)
+            peak_bytes = gateway.peak_bytes
+            for writer in writers:
+                writer.close()
+            assert peak_bytes < memory_mb * MIB
+
+    asyncio.run(main())
