Reject responses with an invalid status code

Callers got responses whose status was 000, as the users saw on real processes, and also 042, 099, 600 and 999, with the server's signature.

Cause: httptools takes any three digits as a status, and ResponseParser only asked whether it was interim. A status below 100 counted as final and as no failure, so the server also kept its share of the requests. An interim head of status 000 was taken for the final response, and the sound one after it was lost.

Change: a status outside 100 to 599 (RFC 9110, section 15) ends the exchange as one that may have run. The attempt is retried where the route allows it, the connection is closed, the server's history counts a failure, and the detail of the failure names the status. The parser serves requests, hedges and load checks on both interfaces and the calls to the platform's store.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -8,6 +8,7 @@
 
 from typing import Final
 from typing import NamedTuple
+from typing import NoReturn
 
 import httptools
 
@@ -35,6 +36,8 @@
 LOAD_CHECK_LIMITS: Final = ResponseLimits(
     head=16 * 1024, body=16 * 1024, total=32 * 1024
 )
+# RFC 9110, section 15; httptools takes any three digits.
+_VALID_STATUSES: Final = range(100, 600)
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -61,6 +64,7 @@
         self._keep_alive = False
         # First bytes of the response as received, for `trailing_data`.
         self._raw = b''
+        self._error: ResponseError | None = None
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -148,9 +152,11 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise ResponseError('response switches protocols') from error
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
             # Bytes after a complete response do not make it invalid.
             if not self._is_complete:
+                if self._error is not None:
+                    raise self._error from error
                 raise
             self._has_trailing_data = True
         self._total_bytes += len(data)
@@ -201,7 +207,7 @@
             return
         text = _decode(value)
         if any(char in text for char in _FORBIDDEN_CHARS):
-            raise ResponseError('line break or NUL in a header field')
+            self._reject('line break or NUL in a header field')
         self._headers.append((name.decode('ascii'), text))
 
     def on_headers_complete(self) -> None:
@@ -209,6 +215,8 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
+        if status not in _VALID_STATUSES:
+            self._reject(f'invalid status code {status:03}')
         if 100 <= status < 200:
             # Interim responses, such as 103 Early Hints, are not forwarded.
             self._headers.clear()
@@ -234,6 +242,15 @@
             self._keep_alive = self._parser.should_keep_alive()
             self._is_complete = True
 
+    def _reject(self, detail: str) -> NoReturn:
+        """Stop parsing.
+
+        httptools wraps the exceptions of callbacks, so `feed` raises the
+        error again.
+        """
+        self._error = ResponseError(detail)
+        raise self._error
+
 
 def _decode(value: bytes) -> str:
     """Decode a field value as UTF-8, as aiohttp encodes it, or Latin-1."""
--- a/tests/transport/test_backend_connection.py
+++ b/tests/transport/test_backend_connection.py
@@ -56,6 +56,8 @@
 
 RESET = (FailureKind.NO_RESPONSE, MAY)
 SHORT = (FailureKind.INVALID_RESPONSE, MAY)
+# Result of a broken head; the connection cannot be used again.
+BAD = (RESET, False)
 BROKEN = RequestContent('GET', '/a', (('X', 'a\r\nY: b'),), b'')
 CASES = (
     Case('whole', OK, (200, b'ok'), True),
@@ -138,6 +140,25 @@
     Case('cut head', b'HTTP/1.1 200 O', RESET, False, closes=True),
     Case('nothing', b'', RESET, False, closes=True),
     Case('only interim', _response('100 Go'), RESET, False, closes=True),
+    Case('status 000', _response('000 X\r\nContent-Length: 2', 'ok'), *BAD),
+    Case('status 600', _response('600 X\r\nContent-Length: 2', 'ok'), *BAD),
+    Case('interim status 000', _response('000 X') + OK, *BAD),
+    Case(
+        'blank in a field name',
+        _response('200 OK\r\nA B: x\r\nContent-Length: 2', 'ok'),
+        *BAD,
+    ),
+    Case(
+        'control byte in a field name',
+        _response('200 OK\r\nA\x01B: x\r\nContent-Length: 2', 'ok'),
+        *BAD,
+    ),
+    Case(
+        'blank before a colon',
+        _response('200 OK\r\nContent-Length : 2', 'ok'),
+        *BAD,
+        closes=True,
+    ),
     Case('not http', b'SSH-2.0-x\r\n\r\n', RESET, False),
     Case(
         'two lengths',
--- /dev/null
+++ b/tests/transport/test_response_parser.py
@@ -0,0 +1,140 @@
+"""Heads of responses, sound and not, in segments of any size."""
+
+import string
+
+import httptools
+import pytest
+
+from teaselrock.transport.response_parser import ResponseError
+from teaselrock.transport.response_parser import ResponseParser
+
+OK = b'HTTP/1.1 200 OK\r\n'
+LENGTH = b'Content-Length: 2\r\n'
+EARLY_HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+TOKEN_BYTES = (
+    string.ascii_letters + string.digits + "!#$%&'*+-.^_`|~"
+).encode()
+# A colon ends a name.
+INVALID_NAME_BYTES = sorted(set(range(256)) - set(TOKEN_BYTES) - set(b':'))
+
+whole_or_in_pieces = pytest.mark.parametrize('segment', [10_000, 7, 1])
+
+
+def _parse(
+    sent: bytes, *, segment: int, method: str = 'GET'
+) -> ResponseParser:
+    parser = ResponseParser(method=method)
+    for index in range(0, len(sent), segment):
+        parser.feed(sent[index : index + segment])
+    return parser
+
+
+def _assert_rejected(sent: bytes, *, segment: int, method: str) -> str:
+    """Returns the reason."""
+    with pytest.raises((ResponseError, httptools.HttpParserError)) as raised:
+        _parse(sent, segment=segment, method=method)
+    return str(raised.value)
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+@pytest.mark.parametrize('status', ['000', '001', '042', '099', '600', '999'])
+def test_status_out_of_range(status: str, method: str, segment: int) -> None:
+    """Guards against a response that callers get with an invalid status."""
+    head = f'HTTP/1.1 {status} X\r\n'.encode()
+    for sent in (
+        head + LENGTH + b'\r\nok',
+        head + b'\r\n' + OK + LENGTH + b'\r\nok',
+        EARLY_HINTS + head + LENGTH + b'\r\nok',
+    ):
+        reason = _assert_rejected(sent, segment=segment, method=method)
+        assert reason == f'invalid status code {status}'
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize(
+    'status', ['', '0', '20', '0200', '2000', '-20', '2 0', '2x0', ' 200']
+)
+def test_status_without_three_digits(status: str, segment: int) -> None:
+    """Guards against another status than the one that was sent."""
+    sent = f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok'.encode()
+    _assert_rejected(sent, segment=segment, method='GET')
+
+
+@whole_or_in_pieces
+def test_invalid_byte_in_a_field_name(segment: int) -> None:
+    """Guards against a field that is passed on, or hides the framing."""
+    for number in INVALID_NAME_BYTES:
+        byte = bytes([number])
+        for name in (b'A' + byte + b'B', byte + b'AB', b'AB' + byte):
+            field = name + b': x\r\n'
+            sent = OK + field + LENGTH + b'\r\nok'
+            _assert_rejected(sent, segment=segment, method='GET')
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'Content-Length : 2',
+        b'Content-Length\t: 2',
+        b'Transfer-Encoding : chunked',
+        b': x',
+        b'A',
+    ],
+)
+def test_broken_field(field: bytes, segment: int) -> None:
+    """Guards against a body whose framing was not understood."""
+    for sent in (
+        OK + field + b'\r\n\r\nok',
+        OK + field + b'\r\n' + LENGTH + b'\r\nok',
+    ):
+        _assert_rejected(sent, segment=segment, method='GET')
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize(
+    ('sent', 'field'),
+    [
+        pytest.param(OK + b'A: b\r\n' + LENGTH, 'b', id='plain'),
+        pytest.param(b'HTTP/1.1 200\r\n' + LENGTH, None, id='no reason'),
+        pytest.param(b'HTTP/1.1 200 \r\n' + LENGTH, None, id='empty reason'),
+        pytest.param(b'HTTP/1.0 200 OK\r\n' + LENGTH, None, id='HTTP/1.0'),
+        pytest.param(EARLY_HINTS + OK + LENGTH, None, id='interim'),
+        pytest.param(OK + b'A:b\r\n' + LENGTH, 'b', id='no blank'),
+        pytest.param(OK + b'A:\r\n' + LENGTH, '', id='empty value'),
+        pytest.param(OK + b'A: \tb c\r\n' + LENGTH, 'b c', id='blanks'),
+        pytest.param(OK + b'A: \xc3\xa9\r\n' + LENGTH, 'é', id='UTF-8'),
+        pytest.param(OK + b'A: \xe9\r\n' + LENGTH, 'é', id='Latin-1'),
+        pytest.param(
+            OK + TOKEN_BYTES + b': x\r\n' + LENGTH, None, id='all of a token'
+        ),
+    ],
+)
+def test_sound_head(sent: bytes, field: str | None, segment: int) -> None:
+    """Guards against a sound response that is taken for a broken one."""
+    response = _parse(sent + b'\r\nok', segment=segment)
+    assert response.is_complete
+    assert (response.status, response.body) == (200, b'ok')
+    assert response.field('A') == field
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize('status', [100, 103, 200, 204, 299, 304, 421, 599])
+def test_valid_status(status: int, segment: int) -> None:
+    """Guards against valid statuses, known or not, that are rejected."""
+    head = f'HTTP/1.1 {status} X\r\n\r\n'.encode()
+    response = _parse(head, segment=segment)
+    assert response.status == (0 if status < 200 else status)
+
+
+@whole_or_in_pieces
+def test_sound_chunks(segment: int) -> None:
+    """Guards against extensions and trailers that are taken for faults."""
+    sent = (
+        OK + b'Transfer-Encoding: chunked\r\n\r\n'
+        b'1;a=b\r\no\r\n1\r\nk\r\n0\r\nA: b\r\n\r\n'
+    )
+    response = _parse(sent, segment=segment)
+    assert response.is_complete
+    assert response.body == b'ok'
