Reject malformed heads of the store's responses

A response of the store with a blank or a control byte in a field name was taken as sound: a value that was cut after two of four bytes, or that still had its chunk framing, was returned as whole, with its version.

Cause: http.client, which urllib3 uses, ends a head at the first line that it cannot parse; the fields after it become part of the payload of the head, so that the length or the transfer coding of the body is lost. urllib3 only logs that. A carriage return at the start of a line ends the head without a defect, and names with other delimiters are taken as they are.

Change: `create_pool` makes pools whose responses raise HTTPException for a line that was not parsed, an invalid name and a folded line; urllib3 reports it as a failed connection and closes it. The store's client, the status command and the demo use it. A read is then unavailable and a write may have taken effect, as after any other lost response.

The five invalid statuses were errors before; the tests stay.

--- a/src/teaselrock/cli/status.py
+++ b/src/teaselrock/cli/status.py
@@ -26,6 +26,7 @@
 from teaselrock.coordination.membership.member import SeedDocument
 from teaselrock.coordination.ports import Store
 from teaselrock.protocol.document_codec import JsonDocumentCodec
+from teaselrock.transport.http_pool import create_pool
 
 REQUEST_TIMEOUT_S: Final = 2.0
 MEMBER_KEY_PREFIX: Final = 'members/'
@@ -70,7 +71,7 @@
         if listed.is_error():
             return admin.print_error(listed.error)
         addresses = listed.ok
-    pool = urllib3.PoolManager(retries=False)
+    pool = create_pool()
     code = console.EXIT_OK
     console.print_result(
         '\t'.join(name.replace('_', ' ') for name in _COLUMNS)
--- a/src/teaselrock/standins/demo/main.py
+++ b/src/teaselrock/standins/demo/main.py
@@ -25,6 +25,7 @@
 from teaselrock.standins.demo import compare
 from teaselrock.standins.demo import deployment
 from teaselrock.standins.load import Call
+from teaselrock.transport.http_pool import create_pool
 
 LOAD_S: Final = 24.0
 READY_LIMIT_S: Final = 30.0
@@ -58,7 +59,7 @@
         self._work_directory = work
         self._deployment = deployment_settings
         self._configuration = configuration
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = create_pool()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._since = datetime.datetime.now(datetime.UTC)
 
--- a/src/teaselrock/transport/store.py
+++ b/src/teaselrock/transport/store.py
@@ -34,6 +34,7 @@
 from teaselrock.protocol.decode_errors import DECODE_ERRORS
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
+from teaselrock.transport.http_pool import create_pool
 
 CALL_TIMEOUT_S: Final = 1.0
 # The store ends a watch after its timeout; the client waits this much longer
@@ -85,9 +86,7 @@
 
     def __init__(self, *, url: str) -> None:
         self._url = url.rstrip('/')
-        self._pool = urllib3.PoolManager(
-            maxsize=MAX_CONNECTIONS, retries=False
-        )
+        self._pool = create_pool(max_connections=MAX_CONNECTIONS)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             max_workers=CALL_THREADS, thread_name_prefix='store'
         )
--- a/tests/transport/test_store_client.py
+++ b/tests/transport/test_store_client.py
@@ -161,6 +161,57 @@
         assert result.ok == case.expected
 
 
+BROKEN_LINES = {
+    'blank in a name': b'A B: x',
+    'tab in a name': b'A\tB: x',
+    'control byte in a name': b'A\x01B: x',
+    'NUL in a name': b'A\x00B: x',
+    'carriage return in a name': b'A\rB: x',
+    'carriage return before a name': b'\rA: x',
+    'DEL in a name': b'A\x7fB: x',
+    'delimiter in a name': b'A(B): x',
+    'byte above ASCII in a name': b'A\xe9B: x',
+    'blank before a name': b' A: x',
+    'blank before the colon': b'A : x',
+    'empty name': b': x',
+    'no colon': b'A',
+}
+BROKEN_HEADS = {
+    # The connection ends before the body is whole.
+    f'{name}, {part}': b'HTTP/1.1 200 OK\r\nETag: "7"\r\n' + rest
+    for name, line in BROKEN_LINES.items()
+    for part, rest in (
+        ('before a length', line + b'\r\nContent-Length: 4\r\n\r\nfu'),
+        (
+            'before chunks',
+            line + b'\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'4\r\nfull\r\n0\r\n\r\n',
+        ),
+        ('last', b'Content-Length: 4\r\n' + line + b'\r\n\r\nfull'),
+    )
+} | {
+    f'status {status}': _response(f'{status} X', 'ETag: "7"\r\n', 'full')
+    for status in ('000', '042', '099', '600', '999')
+}
+
+
+@pytest.mark.parametrize('name', BROKEN_HEADS)
+def test_broken_head_is_no_result(name: str) -> None:
+    """Guards against a value whose framing was not understood.
+
+    A write may have taken effect.
+    """
+    for call, kind in ((_get, KIND.UNAVAILABLE), (_put, KIND.UNKNOWN)):
+        result, _ = asyncio.run(
+            _with_server(
+                BROKEN_HEADS[name],
+                lambda client, call=call: call(HttpStore(client=client)),
+            )
+        )
+        assert result.is_error()
+        assert result.error.kind is kind
+
+
 def test_refused_connection(free_port: Callable[[], int]) -> None:
     """Guards against an unknown outcome for a write that was never sent."""
 
