Record no status of a response with an invalid one

The load generator recorded the status and the verdict of a response whose status was 000, 042 or 600, as aiohttp takes any three digits.

--- a/src/teaselrock/standins/load.py
+++ b/src/teaselrock/standins/load.py
@@ -18,6 +18,8 @@
 
 import aiohttp
 
+from teaselrock.transport.response_parser import VALID_STATUSES
+
 READINESS_INTERVAL_S: Final = 0.25
 CALL_TIMEOUT_S: Final = 40.0
 UNKNOWN: Final = 'unknown'
@@ -63,7 +65,8 @@
     """One call and its result as the caller saw it.
 
     `verdict` is `unknown` without a complete response, or if the response
-    states no verdict.
+    states no verdict; `status` is 0 without a complete response. aiohttp
+    takes any three digits as a status; one that is invalid is no response.
     `repeats` is True if the idempotency key had been sent before.
     """
 
@@ -193,6 +196,8 @@
             return None
         except (aiohttp.ClientError, TimeoutError):
             return call
+        if response.status not in VALID_STATUSES:
+            return call
         code = ''
         if response.content_type == 'application/problem+json':
             code = str(json.loads(body).get('code', ''))
--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -37,7 +37,7 @@
     head=16 * 1024, body=16 * 1024, total=32 * 1024
 )
 # RFC 9110, section 15; httptools takes any three digits.
-_VALID_STATUSES: Final = range(100, 600)
+VALID_STATUSES: Final = range(100, 600)
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -215,7 +215,7 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
-        if status not in _VALID_STATUSES:
+        if status not in VALID_STATUSES:
             self._reject(f'invalid status code {status:03}')
         if 100 <= status < 200:
             # Interim responses, such as 103 Early Hints, are not forwarded.
