Reject interim responses with a body

A caller could get a body that was not the server's: the bytes after an interim head of status 199 with Content-Length: 2 came before the body of the final response. Trailers of such an interim response became fields of the final one. Found by reading what httptools does with each part of a head.

Cause: httptools reads the framing fields of interim responses other than 100, 102 and 103, and on_body and on_header did not ask which response the bytes belong to. An interim response ends with its head (RFC 9110, section 15.2).

Change: a byte of a body before the final head ends the exchange, and fields are dropped at the start of each message.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -200,6 +200,9 @@
         """Called by httptools before a status line."""
         if self._is_complete:
             self._has_trailing_data = True
+        else:
+            # Fields and trailers of an interim response.
+            self._headers.clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by httptools for each header or trailer field."""
@@ -219,7 +222,6 @@
             self._reject(f'invalid status code {status:03}')
         if 100 <= status < 200:
             # Interim responses, such as 103 Early Hints, are not forwarded.
-            self._headers.clear()
             return
         self._status = status
         self._has_head = True
@@ -231,6 +233,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
+        if not self._has_head:
+            # httptools reads the framing fields of most interim responses.
+            self._reject('interim response with a body')
         if self._is_complete:
             self._has_trailing_data = True
         else:
--- a/tests/transport/test_response_parser.py
+++ b/tests/transport/test_response_parser.py
@@ -138,3 +138,34 @@
     response = _parse(sent, segment=segment)
     assert response.is_complete
     assert response.body == b'ok'
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize('status', [102, 103, 104, 150, 199])
+@pytest.mark.parametrize(
+    'framed_body',
+    [
+        b'Content-Length: 2\r\n\r\nno',
+        b'Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n',
+    ],
+)
+def test_body_of_an_interim_response(
+    framed_body: bytes, status: int, segment: int
+) -> None:
+    """Guards against its bytes in the body of the final response."""
+    sent = f'HTTP/1.1 {status} X\r\n'.encode() + framed_body
+    _assert_rejected(
+        sent + OK + LENGTH + b'\r\nok', segment=segment, method='GET'
+    )
+
+
+@whole_or_in_pieces
+def test_fields_of_an_interim_response(segment: int) -> None:
+    """Guards against its fields and trailers in the final response."""
+    response = _parse(
+        b'HTTP/1.1 199 X\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'0\r\nC: d\r\n\r\n' + OK + LENGTH + b'\r\nok',
+        segment=segment,
+    )
+    assert response.headers == [('Content-Length', '2')]
+    assert response.body == b'ok'
