Reject response heads of other protocols

Callers could get a response whose status line was of RTSP, ICE, HTTP/0.9 or HTTP/2.0, since httptools takes them all.

Change: the parser follows where each head ends in the received bytes and checks that it begins with HTTP/1.0 or HTTP/1.1. The same position says where the body of a late response ends. It was taken from the first empty line, which is wrong after an interim head or empty lines; what then followed was read from the wrong byte, and the exchange failed.

Trailers of an interim response are now rejected, as they are no head; the test of them expects that instead of a response without them.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -38,6 +38,8 @@
 )
 # RFC 9110, section 15; httptools takes any three digits.
 VALID_STATUSES: Final = range(100, 600)
+# httptools also takes HTTP/0.9, HTTP/2.0, RTSP and ICE.
+_PROTOCOLS: Final = (b'HTTP/1.0 ', b'HTTP/1.1 ')
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -64,6 +66,8 @@
         self._keep_alive = False
         # First bytes of the response as received, for `trailing_data`.
         self._raw = b''
+        # Where the last complete head, interim or final, ends in `_raw`.
+        self._head_end = 0
         self._error: ResponseError | None = None
         self._parser = httptools.HttpResponseParser(self)
 
@@ -125,11 +129,10 @@
         """Bytes after a response, None if its end cannot be determined."""
         if not self._has_trailing_data:
             return b''
-        head, separator, body = self._raw.partition(b'\r\n\r\n')
         length = self.field('Content-Length')
-        if not separator or length is None or not length.isdigit():
+        if length is None or not length.isdigit():
             return None
-        return body[int(length) :] or None
+        return self._raw[self._head_end + int(length) :] or None
 
     def close(self) -> None:
         """Release body and parser, which refers to this object.
@@ -217,6 +220,7 @@
         """Called by httptools at the end of a head."""
         if self._is_complete:
             return
+        self._end_head()
         status = self._parser.get_status_code()
         if status not in VALID_STATUSES:
             self._reject(f'invalid status code {status:03}')
@@ -231,6 +235,20 @@
             self._keep_alive = self._parser.should_keep_alive()
             self._is_complete = True
 
+    def _end_head(self) -> None:
+        """Check the protocol of a complete head, and find its end.
+
+        Interim responses have no body, so that the next head follows them.
+        """
+        start = self._head_end
+        # httptools skips empty lines before a status line.
+        while self._raw[start : start + 1] in (b'\r', b'\n'):
+            start += 1
+        end = self._raw.find(b'\r\n\r\n', start)
+        if end < 0 or not self._raw.startswith(_PROTOCOLS, start):
+            self._reject('head is not HTTP/1.0 or HTTP/1.1')
+        self._head_end = end + 4
+
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
         if not self._has_head:
--- a/tests/transport/test_response_parser.py
+++ b/tests/transport/test_response_parser.py
@@ -161,11 +161,49 @@
 
 @whole_or_in_pieces
 def test_fields_of_an_interim_response(segment: int) -> None:
-    """Guards against its fields and trailers in the final response."""
+    """Guards against its fields in the final response."""
+    response = _parse(EARLY_HINTS + OK + LENGTH + b'\r\nok', segment=segment)
+    assert response.headers == [('Content-Length', '2')]
+
+
+@whole_or_in_pieces
+def test_trailers_of_an_interim_response(segment: int) -> None:
+    """Guards against its trailers in the final response."""
+    sent = (
+        b'HTTP/1.1 199 X\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'0\r\nA: b\r\n\r\n' + OK + LENGTH + b'\r\nok'
+    )
+    _assert_rejected(sent, segment=segment, method='GET')
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize('first', [b'', b'\r\n', EARLY_HINTS])
+@pytest.mark.parametrize(
+    'protocol',
+    [
+        b'HTTP/0.9',
+        b'HTTP/1.2',
+        b'HTTP/2.0',
+        b'HTTP/1.10',
+        b'http/1.1',
+        b'RTSP/1.0',
+        b'RTSP/2.0',
+        b'ICE/1.0',
+        b'ICY',
+    ],
+)
+def test_other_protocol(protocol: bytes, first: bytes, segment: int) -> None:
+    """Guards against bytes of another protocol as a response."""
+    sent = first + protocol + b' 200 OK\r\n' + LENGTH + b'\r\nok'
+    _assert_rejected(sent, segment=segment, method='GET')
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize('first', [b'', b'\r\n\r\n', EARLY_HINTS])
+def test_bytes_after_a_response(first: bytes, segment: int) -> None:
+    """Guards against a next response that is read from the wrong byte."""
     response = _parse(
-        b'HTTP/1.1 199 X\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n'
-        b'0\r\nC: d\r\n\r\n' + OK + LENGTH + b'\r\nok',
-        segment=segment,
+        first + OK + LENGTH + b'\r\nok' + OK + b'\r\n', segment=segment
     )
-    assert response.headers == [('Content-Length', '2')]
-    assert response.body == b'ok'
+    assert response.has_trailing_data
+    assert response.trailing_data == OK + b'\r\n'
