Reject transfer codings other than chunked

A caller would get the body of a response with "Transfer-Encoding: gzip, chunked" still compressed and without the field that says so, as httptools removes the chunks and gateways drop the field.

Change: any value but a single "chunked" ends the exchange. Codings without chunks at the end never made a complete response before; they now fail at once instead of at the deadline.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -234,6 +234,18 @@
             # body of Content-Length bytes.
             self._keep_alive = self._parser.should_keep_alive()
             self._is_complete = True
+        elif self._transfer_codings not in ([], ['chunked']):
+            # httptools removes only the chunks.
+            self._reject('transfer coding other than chunked')
+
+    @property
+    def _transfer_codings(self) -> list[str]:
+        return [
+            coding.strip().lower()
+            for name, value in self._headers
+            if name.lower() == 'transfer-encoding'
+            for coding in value.split(',')
+        ]
 
     def _end_head(self) -> None:
         """Check the protocol of a complete head, and find its end.
--- a/tests/transport/test_response_parser.py
+++ b/tests/transport/test_response_parser.py
@@ -129,10 +129,11 @@
 
 
 @whole_or_in_pieces
-def test_sound_chunks(segment: int) -> None:
+@pytest.mark.parametrize('coding', [b'chunked', b'Chunked', b'\tchunked '])
+def test_sound_chunks(coding: bytes, segment: int) -> None:
     """Guards against extensions and trailers that are taken for faults."""
     sent = (
-        OK + b'Transfer-Encoding: chunked\r\n\r\n'
+        OK + b'Transfer-Encoding: ' + coding + b'\r\n\r\n'
         b'1;a=b\r\no\r\n1\r\nk\r\n0\r\nA: b\r\n\r\n'
     )
     response = _parse(sent, segment=segment)
@@ -207,3 +208,22 @@
     )
     assert response.has_trailing_data
     assert response.trailing_data == OK + b'\r\n'
+
+
+@whole_or_in_pieces
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'Transfer-Encoding: gzip, chunked',
+        b'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+        b'Transfer-Encoding: chunked, chunked',
+        b'Transfer-Encoding: chunked, gzip',
+        b'Transfer-Encoding: xchunked',
+        b'Transfer-Encoding: gzip',
+        b'Transfer-Encoding:',
+    ],
+)
+def test_other_transfer_coding(field: bytes, segment: int) -> None:
+    """Guards against a coded body that is passed on without its coding."""
+    sent = OK + field + b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    _assert_rejected(sent, segment=segment, method='GET')
