--- a/tests/platform/broken_heads.py
+++ b/tests/platform/broken_heads.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from platform_world import PlatformServer
+from platform_world import RawListener
 
 from teaselrock.platform import headers
 
@@ -57,44 +58,33 @@
 BROKEN_HEADS = INVALID_STATUS_HEADS | INVALID_FIELD_NAME_HEADS
 
 
-class BrokenHeadListener:
-    """Takes the place of a server's `HttpStandin`; sends broken heads."""
+class BrokenHeadListener(RawListener):
+    """Sends broken heads."""
 
     def __init__(
         self, server_id: str, *, head: Head, breaks_checks: bool
     ) -> None:
+        super().__init__()
         self.server_id = server_id
         self.head = head
         self.breaks_checks = breaks_checks
-        # Requests other than load checks, and those after the first one on
-        # their connection.
+        # Requests other than load checks.
         self.request_count = 0
+        # Requests and load checks that follow a broken head on a connection.
         self.reused_count = 0
-        self.address = ''
-        self.listener: asyncio.Server | None = None
-
-    async def start(self) -> str:
-        self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
-        port = self.listener.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        return self.address
-
-    def stop(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        has_broken = False
+        has_sent_broken = False
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 request = await reader.readuntil(b'\r\n\r\n')
-                self.reused_count += has_broken
+                self.reused_count += has_sent_broken
                 is_check = b' /health ' in request
                 self.request_count += not is_check
                 is_broken = self.breaks_checks or not is_check
-                has_broken = has_broken or is_broken
+                has_sent_broken |= is_broken
                 head = self.head if is_broken else Head()
                 writer.write(head.response(*self._fields(request, is_check)))
         writer.close()
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -63,6 +63,29 @@
             writer.close()
 
 
+class RawListener:
+    """Takes the place of a server's `HttpStandin`; sends bytes of any kind."""
+
+    def __init__(self) -> None:
+        self.address = ''
+        self.listener: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
+        port = self.listener.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self.address
+
+    def stop(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raise NotImplementedError
+
+
 class StoreCopy(NamedTuple):
     """Content of a store at one moment."""
 
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -14,6 +14,7 @@
 from gateway_process import running
 from gateway_process import SERVERS
 from platform_world import PlatformServer
+from platform_world import RawListener
 from platform_world import Response
 import pytest
 
@@ -62,26 +63,15 @@
             await writer.drain()
 
 
-class EndlessListener:
-    """Takes the place of a server's `HttpStandin`; responds without end."""
+class EndlessListener(RawListener):
+    """Responds without end."""
 
     def __init__(self, server_id: str, *, part: str, answers_checks: bool):
+        super().__init__()
         self.server_id = server_id
         self.part = part
         self.answers_checks = answers_checks
         self.endless_count = 0
-        self.address = ''
-        self.listener: asyncio.Server | None = None
-
-    async def start(self) -> str:
-        self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
-        port = self.listener.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        return self.address
-
-    def stop(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/transport/test_backend_connection.py
+++ b/tests/transport/test_backend_connection.py
@@ -143,6 +143,12 @@
     Case('status 000', _response('000 X\r\nContent-Length: 2', 'ok'), *BAD),
     Case('status 600', _response('600 X\r\nContent-Length: 2', 'ok'), *BAD),
     Case('interim status 000', _response('000 X') + OK, *BAD),
+    Case(
+        'late status 000',
+        b'HTTP/1.1 000 X\r\nExchange-Number: 1\r\nContent-Length: 0\r\n\r\n'
+        + OK,
+        *BAD,
+    ),
     Case(
         'blank in a field name',
         _response('200 OK\r\nA B: x\r\nContent-Length: 2', 'ok'),
