Reject responses of the store with an invalid length

A value whose response had a Content-Length that is no number was returned as whole when the connection ended early: http.client takes such a length for none and reads until the end.

Change: a pool of `create_pool` rejects a Content-Length that is not decimal; blanks around it remain allowed.

--- a/src/teaselrock/transport/http_pool.py
+++ b/src/teaselrock/transport/http_pool.py
@@ -2,8 +2,9 @@
 
 http.client, which urllib3 uses, ends a head at the first line that it cannot
 parse and takes the following fields for a part of the body. If the length of
-the body is among them, the body is framed wrongly. Responses with such a head
-are rejected here.
+the body is among them, the body is framed wrongly. It also takes an invalid
+length for none and then reads until the connection ends. Responses with such
+a head are rejected here.
 """
 
 import http.client
@@ -16,6 +17,7 @@
 
 # RFC 9110, section 5.6.2.
 _TOKEN: Final = re.compile(r"[A-Za-z0-9!#$%&'*+\-.^_`|~]+")
+_DECIMAL: Final = re.compile(r'[0-9]+')
 _LINE_BREAK: Final = re.compile(r'[\r\n]')
 
 
@@ -34,6 +36,10 @@
                 raise http.client.HTTPException('invalid field name')
             if _LINE_BREAK.search(value):
                 raise http.client.HTTPException('line break in a field')
+            if name.lower() == 'content-length' and not _DECIMAL.fullmatch(
+                value.strip()
+            ):
+                raise http.client.HTTPException('invalid Content-Length')
 
 
 class _CheckedConnection(HTTPConnection):
--- a/tests/transport/test_store_client.py
+++ b/tests/transport/test_store_client.py
@@ -63,6 +63,13 @@
         b'GET /objects/a/b%20c ',
         ('a/b c', 7, b'x'),
     ),
+    Case(
+        'blanks around a length',
+        _get,
+        b'HTTP/1.1 200\r\nETag:\t"7"\r\nContent-Length: 1 \r\n\r\nx',
+        b'GET ',
+        ('a/b c', 7, b'x'),
+    ),
     Case('missing', _get, _response('404 Not Found'), b'GET ', None),
     Case('no version', _get, _response('200 OK'), b'GET ', KIND.UNAVAILABLE),
     Case('get down', _get, _response('503 Down'), b'GET ', KIND.UNAVAILABLE),
@@ -176,23 +183,36 @@
     'empty name': b': x',
     'no colon': b'A',
 }
-BROKEN_HEADS = {
-    # The connection ends before the body is whole.
-    f'{name}, {part}': b'HTTP/1.1 200 OK\r\nETag: "7"\r\n' + rest
-    for name, line in BROKEN_LINES.items()
-    for part, rest in (
-        ('before a length', line + b'\r\nContent-Length: 4\r\n\r\nfu'),
-        (
-            'before chunks',
-            line + b'\r\nTransfer-Encoding: chunked\r\n\r\n'
-            b'4\r\nfull\r\n0\r\n\r\n',
-        ),
-        ('last', b'Content-Length: 4\r\n' + line + b'\r\n\r\nfull'),
-    )
-} | {
-    f'status {status}': _response(f'{status} X', 'ETag: "7"\r\n', 'full')
-    for status in ('000', '042', '099', '600', '999')
-}
+BROKEN_HEADS = (
+    {
+        # The connection ends before the body is whole.
+        f'{name}, {part}': b'HTTP/1.1 200 OK\r\nETag: "7"\r\n' + rest
+        for name, line in BROKEN_LINES.items()
+        for part, rest in (
+            ('before a length', line + b'\r\nContent-Length: 4\r\n\r\nfu'),
+            (
+                'before chunks',
+                line + b'\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'4\r\nfull\r\n0\r\n\r\n',
+            ),
+            ('last', b'Content-Length: 4\r\n' + line + b'\r\n\r\nfull'),
+        )
+    }
+    | {
+        # A cut body.
+        f'length {length.decode()}': b'HTTP/1.1 200 OK\r\nETag: "7"\r\n'
+        b'Content-Length: ' + length + b'\r\n\r\nfu'
+        for length in (b'', b'x', b'4x', b'-4', b'+2', b'0_2', b'2, 4')
+    }
+    | {
+        'two lengths': b'HTTP/1.1 200 OK\r\nETag: "7"\r\nContent-Length: 2\r\n'
+        b'Content-Length: 4\r\n\r\nfu'
+    }
+    | {
+        f'status {status}': _response(f'{status} X', 'ETag: "7"\r\n', 'full')
+        for status in ('000', '042', '099', '600', '999')
+    }
+)
 
 
 @pytest.mark.parametrize('name', BROKEN_HEADS)
