Release the error of a response with its parser

Found in the last read of the change: the stored error refers to the frames of the parser, so that both and the last segment, up to 64 KiB, waited for the garbage collector. close() now drops it.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -134,13 +134,23 @@
             return None
         return self._raw[self._head_end + int(length) :] or None
 
+    @property
+    def _transfer_codings(self) -> list[str]:
+        return [
+            coding.strip().lower()
+            for name, value in self._headers
+            if name.lower() == 'transfer-encoding'
+            for coding in value.split(',')
+        ]
+
     def close(self) -> None:
-        """Release body and parser, which refers to this object.
+        """Release body and what refers to this object.
 
         The garbage collector would find large bodies only much later.
         """
         self._body = bytearray()
         self._raw = b''
+        self._error = None
         del self._parser
 
     def feed(self, data: bytes) -> None:
@@ -238,15 +248,6 @@
             # httptools removes only the chunks.
             self._reject('transfer coding other than chunked')
 
-    @property
-    def _transfer_codings(self) -> list[str]:
-        return [
-            coding.strip().lower()
-            for name, value in self._headers
-            if name.lower() == 'transfer-encoding'
-            for coding in value.split(',')
-        ]
-
     def _end_head(self) -> None:
         """Check the protocol of a complete head, and find its end.
 
