Simplify the check of a head's protocol and the stand-ins' listeners

One pattern finds the start of a status line instead of a loop over empty lines, the stand-in HttpStandin and the listeners that send raw bytes share one listener, and the callers of the real process derive the number of served requests from the statuses.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -6,6 +6,7 @@
 part of the next response.
 """
 
+import re
 from typing import Final
 from typing import NamedTuple
 from typing import NoReturn
@@ -38,8 +39,9 @@
 )
 # RFC 9110, section 15; httptools takes any three digits.
 VALID_STATUSES: Final = range(100, 600)
-# httptools also takes HTTP/0.9, HTTP/2.0, RTSP and ICE.
-_PROTOCOLS: Final = (b'HTTP/1.0 ', b'HTTP/1.1 ')
+# httptools skips empty lines before a status line, and also takes HTTP/0.9,
+# HTTP/2.0, RTSP and ICE.
+_STATUS_LINE_START: Final = re.compile(rb'[\r\n]*HTTP/1\.[01] ')
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
 
 
@@ -234,7 +236,7 @@
         status = self._parser.get_status_code()
         if status not in VALID_STATUSES:
             self._reject(f'invalid status code {status:03}')
-        if 100 <= status < 200:
+        if status < 200:
             # Interim responses, such as 103 Early Hints, are not forwarded.
             return
         self._status = status
@@ -253,14 +255,10 @@
 
         Interim responses have no body, so that the next head follows them.
         """
-        start = self._head_end
-        # httptools skips empty lines before a status line.
-        while self._raw[start : start + 1] in (b'\r', b'\n'):
-            start += 1
-        end = self._raw.find(b'\r\n\r\n', start)
-        if end < 0 or not self._raw.startswith(_PROTOCOLS, start):
+        start = _STATUS_LINE_START.match(self._raw, self._head_end)
+        if start is None:
             self._reject('head is not HTTP/1.0 or HTTP/1.1')
-        self._head_end = end + 4
+        self._head_end = self._raw.index(b'\r\n\r\n', start.end()) + 4
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
--- a/tests/platform/broken_heads.py
+++ b/tests/platform/broken_heads.py
@@ -4,8 +4,8 @@
 import contextlib
 from typing import NamedTuple
 
+from platform_world import LoopbackListener
 from platform_world import PlatformServer
-from platform_world import RawListener
 
 from teaselrock.platform import headers
 
@@ -58,8 +58,8 @@
 BROKEN_HEADS = INVALID_STATUS_HEADS | INVALID_FIELD_NAME_HEADS
 
 
-class BrokenHeadListener(RawListener):
-    """Sends broken heads."""
+class BrokenHeadListener(LoopbackListener):
+    """Takes the place of a server's `HttpStandin`; sends broken heads."""
 
     def __init__(
         self, server_id: str, *, head: Head, breaks_checks: bool
@@ -73,7 +73,7 @@
         # Requests and load checks that follow a broken head on a connection.
         self.reused_count = 0
 
-    async def _accept(
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         has_sent_broken = False
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -146,13 +146,16 @@
         self.path = path
         self.max_tries = max_tries
         self.request_count = 0
-        self.served_count = 0
         # Number of responses by status as sent.
         self.statuses: Counter[str] = Counter()
         # Status and body of those with a server's signature.
         self.signed_statuses: Counter[str] = Counter()
         self.signed_bodies: set[bytes] = set()
 
+    @property
+    def served_count(self) -> int:
+        return self.statuses['200']
+
     async def run(self) -> None:
         reader, writer = await self.gateway.connect()
         for _ in range(REQUESTS_PER_CALLER):
@@ -163,7 +166,6 @@
                     # Not repeated: the request may have been lost.
                     reader, writer = await self.gateway.connect()
                     break
-                self.served_count += status == 200
                 if status != 503:
                     break
                 await asyncio.sleep(retry_after)
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -18,14 +18,12 @@
 Handler = Callable[[CallerRequest], Awaitable[Response | None]]
 
 
-class HttpStandin:
-    """An HTTP server; closes the connection if the handler returns None."""
+class LoopbackListener:
+    """Listens on a free port; subclasses serve the connections."""
 
-    def __init__(self, handler: Handler) -> None:
-        self.handler = handler
-        self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+    def __init__(self) -> None:
         self.address = ''
+        self.server: asyncio.Server | None = None
 
     async def start(self) -> str:
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -36,6 +34,23 @@
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raise NotImplementedError
+
+
+class HttpStandin(LoopbackListener):
+    """An HTTP server; closes the connection if the handler returns None."""
+
+    def __init__(self, handler: Handler) -> None:
+        super().__init__()
+        self.handler = handler
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def stop(self) -> None:
+        super().stop()
         for writer in tuple(self.writers):
             writer.close()
 
@@ -63,29 +78,6 @@
             writer.close()
 
 
-class RawListener:
-    """Takes the place of a server's `HttpStandin`; sends bytes of any kind."""
-
-    def __init__(self) -> None:
-        self.address = ''
-        self.listener: asyncio.Server | None = None
-
-    async def start(self) -> str:
-        self.listener = await asyncio.start_server(self._accept, '127.0.0.1')
-        port = self.listener.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        return self.address
-
-    def stop(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        raise NotImplementedError
-
-
 class StoreCopy(NamedTuple):
     """Content of a store at one moment."""
 
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -13,8 +13,8 @@
 from gateway_process import REQUESTS_PER_CALLER
 from gateway_process import running
 from gateway_process import SERVERS
+from platform_world import LoopbackListener
 from platform_world import PlatformServer
-from platform_world import RawListener
 from platform_world import Response
 import pytest
 
@@ -63,8 +63,8 @@
             await writer.drain()
 
 
-class EndlessListener(RawListener):
-    """Responds without end."""
+class EndlessListener(LoopbackListener):
+    """Takes the place of a server's `HttpStandin`; responds without end."""
 
     def __init__(self, server_id: str, *, part: str, answers_checks: bool):
         super().__init__()
@@ -73,7 +73,7 @@
         self.answers_checks = answers_checks
         self.endless_count = 0
 
-    async def _accept(
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
