Remove blanks after the values of response fields

The response to a build ran to its deadline and the caller got 504 if the server put a blank after the request id: the id did not match, so that the response was taken for a late one to another request.

Cause: httptools removes the blanks before a value and keeps those after it. They are no part of the value (RFC 9112, section 5.1).

Change: the parser strips blanks and tabs on both sides.

Evidence: test_blank_after_a_request_id (504) and test_sound_head[blanks] fail without the change and pass with it.

--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -43,6 +43,8 @@
 # HTTP/2.0, RTSP and ICE.
 _STATUS_LINE_START: Final = re.compile(rb'[\r\n]*HTTP/1\.[01] ')
 _FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
+# httptools removes those before a value, not those after it.
+_BLANKS: Final = b' \t'
 
 
 class ResponseError(Exception):
@@ -223,7 +225,7 @@
         """Called by httptools for each header or trailer field."""
         if self._has_head:
             return
-        text = _decode(value)
+        text = _decode(value.strip(_BLANKS))
         if any(char in text for char in _FORBIDDEN_CHARS):
             self._reject('line break or NUL in a header field')
         self._headers.append((name.decode('ascii'), text))
--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -136,3 +136,17 @@
         assert server.http.request_count == 1
 
     run(scenario)
+
+
+def test_blank_after_a_request_id(run: Run) -> None:
+    """Guards against a sound response that is taken for another one."""
+
+    async def scenario(world: World) -> None:
+        for server in world.servers:
+            fields = {headers.REQUEST_ID: 'id1 ', headers.SIGNATURE: 's \t'}
+            server.responses = [(200, fields, b'done')]
+        status, fields, body = await world.send_request('/b/1', method='POST')
+        assert (status, body) == (200, b'done')
+        assert fields[headers.SIGNATURE] == 's'
+
+    run(scenario)
--- a/tests/transport/test_response_parser.py
+++ b/tests/transport/test_response_parser.py
@@ -103,7 +103,8 @@
         pytest.param(EARLY_HINTS + OK + LENGTH, None, id='interim'),
         pytest.param(OK + b'A:b\r\n' + LENGTH, 'b', id='no blank'),
         pytest.param(OK + b'A:\r\n' + LENGTH, '', id='empty value'),
-        pytest.param(OK + b'A: \tb c\r\n' + LENGTH, 'b c', id='blanks'),
+        pytest.param(OK + b'A: \tb c\t \r\n' + LENGTH, 'b c', id='blanks'),
+        pytest.param(OK + b'A: \t \r\n' + LENGTH, '', id='only blanks'),
         pytest.param(OK + b'A: \xc3\xa9\r\n' + LENGTH, 'é', id='UTF-8'),
         pytest.param(OK + b'A: \xe9\r\n' + LENGTH, 'é', id='Latin-1'),
         pytest.param(
