Test crowds of callers that send large or unfinished requests

Callers that send many large bodies, stop short of their end or exceed the limits make a process exceed the memory of its machine.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,8 @@
 from free_ports import find_free_ports
 from teaselrock.daemon.settings import GatewaySettings
 
+pytest.register_assert_rewrite('crowd')
+
 KNOWN_FAILURES_FILE: Final = (
     pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 )
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -15,8 +15,10 @@
 from platform_world import PlatformServer
 from platform_world import PlatformStore
 
+from crowd import peak_bytes
 from free_ports import find_free_ports
 from teaselrock.platform import headers
+from teaselrock.state.routes import CallerLimits
 
 ROOT = pathlib.Path(__file__).parents[2]
 SERVERS = 12
@@ -31,9 +33,18 @@
 class GatewayProcess:
     """A gateway as the deploy file starts it, and what it uses."""
 
-    def __init__(self, *, work_dir: pathlib.Path, memory_mb: int) -> None:
+    def __init__(
+        self,
+        *,
+        work_dir: pathlib.Path,
+        memory_mb: int,
+        max_fds: int | None = None,
+        caller_limits: dict[str, int] | None = None,
+    ) -> None:
         self.work_dir = work_dir
         self.memory_mb = memory_mb
+        self.max_fds = max_fds
+        self.caller_limits = caller_limits
         self.store = PlatformStore()
         self.store.page_items = 500
         self.ports = find_free_ports(3)
@@ -51,15 +62,22 @@
         }
         spec = routes_spec('0000000a', ROUTE, other)
         spec['services'].append({'name': 'other', 'cold_per_s': 6.3})
+        if self.caller_limits is not None:
+            spec['limits'] = self.caller_limits
         self.store.put('config', 'main', spec)
         for server in servers:
             await self.add(server, service='desk')
         for number in range(SERVERS):
-            await self.add(PlatformServer(f'o-{number}'), service='other')
+            server = PlatformServer(f'o-{number}')
+            if self.caller_limits is not None:
+                server.http.limits = CallerLimits(
+                    max_body_bytes=self.caller_limits['max_body_bytes']
+                )
+            await self.add(server, service='other')
         path = self.work_dir / 'settings.json'
         settings = {
             **gateway_settings(self.ports, store_address),
-            'limits': {'memory_mb': self.memory_mb},
+            'limits': {'memory_mb': self.memory_mb, 'max_fds': self.max_fds},
         }
         path.write_text(json.dumps(settings), 'utf-8')
         with (self.work_dir / 'gateway.log').open('wb') as log:
@@ -95,15 +113,35 @@
         writer.close()
         return b' 200 ' in line
 
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        assert self.process is not None
+        return self.process.returncode is None
+
     @property
     def peak_bytes(self) -> int:
         """Largest resident size since the process started."""
-        assert self.process is not None
-        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
-        (line,) = (
-            line for line in status.splitlines() if line.startswith('VmHWM:')
+        return peak_bytes(self.pid)
+
+    @property
+    def crowd_head(self) -> str:
+        return (
+            'POST /x/1 HTTP/1.1\r\nHost: a.example\r\n'
+            f'{headers.REQUEST_ID}: crowd\r\n'
         )
-        return int(line.split()[1]) * 1024
+
+    async def send_ordinary(self) -> tuple[int, float]:
+        """Send one request on a connection of its own."""
+        reader, writer = await self.connect()
+        try:
+            return await Caller(self, '/y/1').send(reader, writer)
+        finally:
+            writer.close()
 
     async def connect(
         self,
@@ -121,9 +159,19 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    work_dir: pathlib.Path, memory_mb: int, servers: list[PlatformServer]
+    work_dir: pathlib.Path,
+    memory_mb: int,
+    servers: list[PlatformServer],
+    *,
+    max_fds: int | None = None,
+    caller_limits: dict[str, int] | None = None,
 ) -> AsyncIterator[GatewayProcess]:
-    gateway = GatewayProcess(work_dir=work_dir, memory_mb=memory_mb)
+    gateway = GatewayProcess(
+        work_dir=work_dir,
+        memory_mb=memory_mb,
+        max_fds=max_fds,
+        caller_limits=caller_limits,
+    )
     try:
         async with asyncio.timeout(RUN_TIMEOUT_S):
             await gateway.start(servers)
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -47,6 +47,7 @@
     def __init__(self, handler: Handler) -> None:
         super().__init__()
         self.handler = handler
+        self.limits = CallerLimits()
         self.writers: set[asyncio.StreamWriter] = set()
 
     def stop(self) -> None:
@@ -57,7 +58,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        parser = RequestParser(limits=CallerLimits())
+        parser = RequestParser(limits=self.limits)
         self.writers.add(writer)
         try:
             while data := await reader.read(65536):
