Limit the memory of callers' requests on the platform's interface

Crowds of callers that send large bodies of legal size, whole or short of their end, in chunks, without end or sent ahead, took a process of 200 MB to 424 to 964 MB; heads of 2,200 small fields took it to 340 MB.

Cause: each request had a limit of its size, and the process had none for all of them.

Change: one account for the process, two fifths of its memory. A request with an announced body takes its room when its head is complete and gets 503 with Retry-After at once if there is none; a body of unknown length takes it in steps of 64 KiB. A tenth is left to small requests. The account is released when the request has ended, which may be later than its connection. Unread input counts too, and connections receive 64 KiB at once instead of 256. An incomplete head keeps its fields as bytes, as objects take many times their size. Gauges, a counter and the event caller-limited show the account.

test_request_parser compares the accounted sizes of requests in place of the accounts, which differ by identity; it is stricter by that.

--- a/src/teaselrock/coordination/dispatch.py
+++ b/src/teaselrock/coordination/dispatch.py
@@ -97,9 +97,12 @@
     ) -> Result[BackendResponse, Refusal]:
         self._in_flight += 1
         self._idle.clear()
+        # The request may outlive its caller's connection.
+        request.hold.retain()
         try:
             return await self._serve(request)
         finally:
+            request.hold.release()
             self._in_flight -= 1
             if self._in_flight == 0:
                 self._idle.set()
--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -48,6 +48,7 @@
 from teaselrock.transport.front_end import FrontEnd
 from teaselrock.transport.operators_endpoint import OperatorsEndpoint
 from teaselrock.transport.operators_pages import OperatorsSource
+from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.store import HttpPlatformList
 from teaselrock.transport.store import HttpStore
 from teaselrock.transport.store import StoreHttpClient
@@ -141,6 +142,7 @@
             on_event=self._metrics.on_event,
             on_dropped=self._metrics.on_log_line_dropped,
         )
+        self._request_memory = RequestMemory()
         self._transports = self._make_transports()
         # The start time, so that each restart has a higher incarnation.
         self._incarnation = time.time_ns() // 1_000_000
@@ -152,6 +154,7 @@
         self._metrics.register_instance(
             view=self._instance.directory,
             in_flight=lambda: self._instance.dispatcher.in_flight,
+            request_memory=self._request_memory,
             collector=InstanceStatsCollector(
                 read_stats=lambda: instance_stats.collect_stats(self._instance)
             ),
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -30,6 +30,7 @@
 MAX_LINES_PER_INTERVAL: Final[dict[Event, int]] = {
     Event.REQUEST_ENDED: 200,
     Event.REQUEST_REFUSED: 100,
+    Event.CALLER_LIMITED: 20,
     Event.ROUTES_IN_FORCE: 20,
     Event.ZONES_OUT: 20,
     Event.WATCH_STARTED: 5,
@@ -53,6 +54,7 @@
 LEVELS: Final[dict[Event, int]] = dict.fromkeys(
     (
         Event.PEER_FRAME_INVALID,
+        Event.CALLER_LIMITED,
         Event.MEMBER_FAILED,
         Event.ISOLATED,
         Event.CONFIGURATION_SOURCE_LOST,
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -19,6 +19,8 @@
 
 from teaselrock.coordination.events import Event
 from teaselrock.state.configuration import Document
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.request_memory import RequestMemory
 
 # Customers beyond these count as `OTHER_CUSTOMER`.
 MAX_CUSTOMER_LABELS: Final = 200
@@ -106,6 +108,12 @@
             'Frames from peers that were dropped.',
             registry=self._registry,
         )
+        self._caller_limits = Counter(
+            'teaselrock_caller_limits',
+            'Requests and connections of callers ended by a limit.',
+            ('limit',),
+            registry=self._registry,
+        )
         self._dropped_log_lines = Counter(
             'teaselrock_log_lines_dropped',
             'Log lines dropped because the writer was too slow.',
@@ -117,6 +125,7 @@
         *,
         view: MeasuredView,
         in_flight: Callable[[], int],
+        request_memory: RequestMemory,
         collector: Collector,
     ) -> None:
         """Add the gauges and the collector of an instance.
@@ -140,6 +149,16 @@
                 'Requests being served.',
                 in_flight,
             ),
+            (
+                'teaselrock_request_bytes',
+                'Bytes of the requests that are being received or served.',
+                lambda: request_memory.total_bytes,
+            ),
+            (
+                'teaselrock_request_bytes_limit',
+                'Limit of teaselrock_request_bytes.',
+                lambda: request_memory.limit_bytes,
+            ),
         )
         for name, description, value in gauges:
             Gauge(name, description, registry=self._registry).set_function(
@@ -182,6 +201,10 @@
         """Count an event."""
         self._events.labels(event.name.lower().replace('_', '-')).inc()
 
+    def on_caller_limit(self, limit: CallerLimit) -> None:
+        """Count a request or connection that met a limit."""
+        self._caller_limits.labels(limit.value).inc()
+
     def on_invalid_frame(self) -> None:
         """Count a dropped frame of a peer."""
         self._invalid_frames.inc()
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -26,6 +26,7 @@
 from teaselrock.coordination.routed_instance import RoutedOptions
 from teaselrock.coordination.routed_instance import RoutedPorts
 from teaselrock.daemon import event_loop
+from teaselrock.daemon.caller_limit_log import CallerLimitLog
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.routed_metrics import RoutedCollector
@@ -43,6 +44,8 @@
 from teaselrock.transport.operators_listener import make_operators_listener
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.relay_link import StreamRelayLink
+from teaselrock.transport.request_memory import DEFAULT_MEMORY_BYTES
+from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.response_memory import DEFAULT_LIMIT_BYTES
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.routed_front_end import RoutedFrontEnd
@@ -115,6 +118,9 @@
         self._response_memory = ResponseMemory(
             limit_bytes=_response_memory_limit(settings)
         )
+        request_memory = RequestMemory(
+            memory_bytes=settings.limits.memory_bytes or DEFAULT_MEMORY_BYTES
+        )
         self._store = StoreClient(
             address=(
                 f'{settings.store_address.host}:{settings.store_address.port}'
@@ -126,6 +132,7 @@
         self._metrics.register_instance(
             view=_RoutedMetricsView(view=view, is_ready=lambda: self.is_ready),
             in_flight=lambda: self._instance.dispatcher.in_flight,
+            request_memory=request_memory,
             collector=RoutedCollector(
                 read_stats=lambda: self._instance.stats,
                 store_calls=lambda: self._store.calls,
@@ -140,7 +147,11 @@
                 shares=RouteShares(rng=random.Random()),
                 dialect=headers.PlatformCallerDialect(),
                 observer=self._metrics,
-            )
+            ),
+            memory=request_memory,
+            observer=CallerLimitLog(
+                events=self._events, metrics=self._metrics
+            ),
         )
         self._operators_listener = make_operators_listener(
             source=OperatorsSource(
--- a/src/teaselrock/state/__init__.py
+++ b/src/teaselrock/state/__init__.py
@@ -5,8 +5,10 @@
 from teaselrock.state.request import BackendResponse
 from teaselrock.state.request import ExchangeFailure
 from teaselrock.state.request import FailureKind
+from teaselrock.state.request import NoRequestHold
 from teaselrock.state.request import Request
 from teaselrock.state.request import RequestContent
+from teaselrock.state.request import RequestHold
 from teaselrock.state.topology import AvailabilityZone
 from teaselrock.state.topology import BackendServer
 from teaselrock.state.topology import Instance
@@ -23,10 +25,12 @@
     'AvailabilityZone',
     'BackendServer',
     'RequestContent',
+    'RequestHold',
     'ExchangeFailure',
     'FailureKind',
     'Instance',
     'LoadReport',
+    'NoRequestHold',
     'Refusal',
     'RefusalCode',
     'Request',
--- a/src/teaselrock/state/request.py
+++ b/src/teaselrock/state/request.py
@@ -6,12 +6,39 @@
 
 import enum
 from typing import NamedTuple
+from typing import Protocol
 
 from teaselrock.state.routes import Route
 from teaselrock.state.topology import LoadReport
 from teaselrock.state.verdict import Verdict
 
 
+class RequestHold(Protocol):
+    """What keeps a request's memory accounted for.
+
+    A front end holds it first. Whoever needs the request for longer retains
+    it; the last release ends the accounting.
+    """
+
+    def retain(self) -> None:
+        """Add a user."""
+        ...
+
+    def release(self) -> None:
+        """Remove a user."""
+        ...
+
+
+class NoRequestHold:
+    """`RequestHold` of a request that is not accounted for."""
+
+    def retain(self) -> None:
+        """Do nothing."""
+
+    def release(self) -> None:
+        """Do nothing."""
+
+
 class RequestContent(NamedTuple):
     """Content of a request, passed through without interpretation.
 
@@ -34,7 +61,8 @@
     depth in a chain of calls and `caller_attempt` the number of the caller's
     attempt, both as received. `route` is set for a request that was matched
     against a routing table; such a request has no customer and no key.
-    `request_id` is the caller's, '' if there is none.
+    `request_id` is the caller's, '' if there is none. `hold` accounts for
+    its memory.
     """
 
     customer: str
@@ -47,6 +75,7 @@
     caller_attempt: int = 1
     request_id: str = ''
     route: Route | None = None
+    hold: RequestHold = NoRequestHold()
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -18,6 +18,13 @@
 from teaselrock.transport.accept_queue import accept_queued
 from teaselrock.transport.accept_queue import BACKLOG
 from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_limits import CallerLimitObserver
+from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_reader import CallerProtocol
+from teaselrock.transport.caller_reader import CallerReader
+from teaselrock.transport.caller_reader import RECEIVE_BYTES
+from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.request_parser import RequestParser
@@ -77,16 +84,19 @@
     def __init__(
         self,
         *,
-        reader: asyncio.StreamReader,
+        reader: CallerReader,
         writer: asyncio.StreamWriter,
         handler: RequestHandler,
+        memory: RequestMemory,
+        observer: CallerLimitObserver,
         is_closing: Callable[[], bool],
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
+        self._observer = observer
         self._is_closing = is_closing
-        self._parser = RequestParser(limits=handler.limits)
+        self._parser = RequestParser(limits=handler.limits, memory=memory)
         self._pending: deque[_PendingRequest] = deque()
         # Set when a request or an error is pending.
         self._response_expected = asyncio.Event()
@@ -128,6 +138,10 @@
         try:
             await self._read_requests()
             if self._error is not None:
+                if self._error.limit is not None:
+                    self._observer.on_caller_limit(
+                        limit=self._error.limit, detail=str(self._error)
+                    )
                 self._response_expected.set()
                 await writer_task
                 await self._linger()
@@ -144,6 +158,7 @@
                 return_exceptions=True,
             )
             self._parser.close()
+            self._reader.close()
             self._writer.close()
 
     async def _linger(self) -> None:
@@ -172,14 +187,14 @@
             try:
                 requests = self._parser.feed(data)
             except RequestError as error:
-                for request in self._parser.take_complete_requests():
-                    await self._start_request(request)
+                await self._start_requests(
+                    self._parser.take_complete_requests()
+                )
                 self._error = error
                 return
             if self._parser.take_expect_continue():
                 self._writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            for request in requests:
-                await self._start_request(request)
+            await self._start_requests(requests)
 
     async def _read(self) -> bytes:
         """Read within the time limits; b'' if the connection has to end."""
@@ -220,8 +235,18 @@
         finally:
             self._head_read_s += loop.time() - started_at
 
-    async def _start_request(self, request: CallerRequest) -> None:
-        """Start to serve a request, after earlier ones if it must wait.
+    async def _start_requests(self, requests: list[CallerRequest]) -> None:
+        """Start to serve requests in their order."""
+        waiting = deque(requests)
+        try:
+            while waiting and await self._may_start(waiting[0]):
+                self._start(waiting.popleft())
+        finally:
+            for request in waiting:
+                request.hold.release()
+
+    async def _may_start(self, request: CallerRequest) -> bool:
+        """Wait until a request may start; False if the connection closes.
 
         Callers repeat requests that they sent after the one whose response
         closed the connection. A request that must not run twice therefore
@@ -233,9 +258,12 @@
         ):
             self._response_written.clear()
             await self._response_written.wait()
-        if self._writer.is_closing():
-            return
+        return not self._writer.is_closing()
+
+    def _start(self, request: CallerRequest) -> None:
         task = asyncio.create_task(self._handler.serve(request))
+        hold = request.hold
+        task.add_done_callback(lambda _: hold.release())
         self._pending.append(
             _PendingRequest(request.method == 'HEAD', request.keep_alive, task)
         )
@@ -302,8 +330,18 @@
 class CallerListener:
     """Listening socket for callers' connections."""
 
-    def __init__(self, *, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        memory: RequestMemory | None = None,
+        observer: CallerLimitObserver = NoCallerLimitObserver(),
+    ) -> None:
         self._handler = handler
+        self._memory = memory or RequestMemory()
+        self._observer = observer
+        # All connections receive into this buffer, one after the other.
+        self._receive_buffer = bytearray(RECEIVE_BYTES)
         self._connections: set[CallerConnection] = set()
         self._is_closing = False
         self._server: asyncio.Server | None = None
@@ -325,8 +363,8 @@
 
     async def start(self, *, host: str, port: int) -> None:
         """Listen; raises `OSError` if the address cannot be bound."""
-        self._server = await asyncio.start_server(
-            self._accept, host, port, backlog=BACKLOG
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, port, backlog=BACKLOG
         )
 
     def begin_close(self) -> None:
@@ -365,17 +403,30 @@
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         loop = asyncio.get_running_loop()
-        return asyncio.StreamReaderProtocol(
-            asyncio.StreamReader(loop=loop), self._accept, loop=loop
+        reader = CallerReader(loop=loop, held=self._memory.open())
+        return CallerProtocol(
+            reader=reader,
+            accept=lambda _, writer: self._accept(reader, writer),
+            buffer=self._receive_buffer,
+            on_overflow=self._on_overflow,
+            loop=loop,
+        )
+
+    def _on_overflow(self) -> None:
+        self._observer.on_caller_limit(
+            limit=CallerLimit.MEMORY,
+            detail='unread bytes of a connection have no room',
         )
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CallerReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = CallerConnection(
             reader=reader,
             writer=writer,
             handler=self._handler,
+            memory=self._memory,
+            observer=self._observer,
             is_closing=lambda: self._is_closing,
         )
         self._connections.add(connection)
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -1,7 +1,8 @@
 """Parses the requests of one caller's connection, with httptools.
 
 `caller_connection` passes it the bytes that it reads. Heads and bodies have
-size limits; a request that is rejected here ends the connection.
+size limits, and all requests of the process share a limit of their memory; a
+request that is rejected here ends the connection.
 """
 
 from collections import deque
@@ -10,12 +11,21 @@
 
 import httptools
 
+from teaselrock.state import NoRequestHold
+from teaselrock.state import RequestHold
 from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.request_memory import RequestMemory
 
 # Bytes of a request line besides its target, at most. The limit of a complete
 # head does not include them, so that an incomplete one may exceed it by them.
 _REQUEST_LINE_EXTRA_BYTES: Final = 32
-_FORBIDDEN_CHARS: Final = ('\r', '\n', '\0')
+_FORBIDDEN_BYTES: Final = (b'\r', b'\n', b'\0')
+# What a field of a complete request takes beside its text: two strings and the
+# tuples of the received and of the forwarded fields.
+FIELD_BYTES: Final = 256
+# Steps in which a body of unknown length is accounted for.
+BODY_STEP_BYTES: Final = 64 * 1024
 
 
 class CallerRequest(NamedTuple):
@@ -26,6 +36,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes | bytearray
     keep_alive: bool
+    hold: RequestHold = NoRequestHold()
 
     def field(self, name: str) -> str | None:
         """First value of a header field, None if it is missing.
@@ -39,11 +50,22 @@
 
 
 class RequestError(Exception):
-    """A request that is rejected before it is routed."""
+    """A request that is rejected before it is routed.
 
-    def __init__(self, *, status: int, detail: str) -> None:
+    `limit` is set if the request met a limit of the process.
+    """
+
+    def __init__(
+        self, *, status: int, detail: str, limit: CallerLimit | None = None
+    ) -> None:
         super().__init__(detail)
         self._status = status
+        self._limit = limit
+
+    @property
+    def limit(self) -> CallerLimit | None:
+        """Limit of the process that the request met."""
+        return self._limit
 
     @property
     def status(self) -> int:
@@ -54,12 +76,19 @@
 class RequestParser:
     """Builds requests from the callbacks of httptools."""
 
-    def __init__(self, *, limits: CallerLimits) -> None:
+    def __init__(
+        self, *, limits: CallerLimits, memory: RequestMemory | None = None
+    ) -> None:
         self._limits = limits
+        self._memory = memory or RequestMemory()
+        self._held = self._memory.open()
         self._requests: deque[CallerRequest] = deque()
         self._target = b''
-        self._headers: list[tuple[str, str]] = []
+        # Lines `name:value`. An incomplete request does not keep its fields
+        # as objects, since these take many times their size.
+        self._field_lines = bytearray()
         self._body = bytearray()
+        self._announced_body_bytes = 0
         self._parsed_head_bytes = 0
         # Bytes that are known to belong to the current head.
         self._received_head_bytes = 0
@@ -104,7 +133,9 @@
         The garbage collector would find large bodies only much later.
         """
         self._body = bytearray()
-        self._requests.clear()
+        for request in self.take_complete_requests():
+            request.hold.release()
+        self._held.release()
         self._error = None
         del self._parser
 
@@ -129,6 +160,8 @@
                 status=400, detail='malformed HTTP request'
             ) from error
         self._count_incomplete(len(data), was_in_body=was_in_body)
+        if self._is_in_head:
+            self._hold(self._received_head_bytes)
         return self.take_complete_requests()
 
     def _count_incomplete(self, size: int, *, was_in_body: bool) -> None:
@@ -174,8 +207,9 @@
         """Called by httptools before a request line."""
         self._begun += 1
         self._target = b''
-        self._headers = []
+        self._field_lines = bytearray()
         self._body = bytearray()
+        self._announced_body_bytes = 0
         self._parsed_head_bytes = 0
         self._is_in_head = True
         self._is_in_body = False
@@ -191,28 +225,27 @@
         self._count_head(len(name) + len(value) + 4)
         if self._is_in_body:
             return
-        text = value.decode('utf-8', 'surrogateescape')
-        if any(char in text for char in _FORBIDDEN_CHARS):
+        if any(forbidden in value for forbidden in _FORBIDDEN_BYTES):
             self._reject(
                 RequestError(
                     status=400, detail='line break or NUL in a header field'
                 )
             )
-        self._headers.append((name.decode('latin-1'), text))
-        if name.lower() == b'expect' and value.lower() == b'100-continue':
+        self._field_lines += name + b':' + value + b'\n'
+        lower = name.lower()
+        if lower == b'expect' and value.lower() == b'100-continue':
             self._expects_continue = True
+        elif lower == b'content-length' and value.isdigit():
+            self._announced_body_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Called by httptools at the end of a head."""
         self._is_in_head = False
         self._is_in_body = True
-        for name, value in self._headers:
-            if (
-                name.lower() == 'content-length'
-                and value.isdigit()
-                and int(value) > self._limits.max_body_bytes
-            ):
-                self._reject(self._body_error())
+        if self._announced_body_bytes > self._limits.max_body_bytes:
+            self._reject(self._body_error())
+        # Where an announced body has no room, it is rejected before it comes.
+        self._hold(self._parsed_head_bytes + self._announced_body_bytes)
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
@@ -220,22 +253,46 @@
         self._body += data
         if len(self._body) > self._limits.max_body_bytes:
             self._reject(self._body_error())
+        if self._parsed_head_bytes + len(self._body) > self._held.size:
+            self._hold(
+                self._parsed_head_bytes + len(self._body) + BODY_STEP_BYTES
+            )
 
     def on_message_complete(self) -> None:
         """Called by httptools at the end of a request."""
         self._is_in_body = False
+        field_count = self._field_lines.count(b'\n')
+        self._hold(
+            self._parsed_head_bytes
+            + field_count * FIELD_BYTES
+            + len(self._body)
+        )
         self._requests.append(
             CallerRequest(
                 self._parser.get_method().decode('ascii'),
                 self._target.decode('latin-1'),
-                tuple(self._headers),
+                _decode_fields(self._field_lines),
                 self._body,
                 self._parser.should_keep_alive(),
+                self._held,
             )
         )
+        self._held = self._memory.open()
         # The request owns its body from here on.
         self._body = bytearray()
 
+    def _hold(self, size: int) -> None:
+        """Account for the request; rejects it if the memory has no room."""
+        if not self._held.resize(size):
+            self._reject(
+                RequestError(
+                    status=503,
+                    detail='requests of all callers exceed the memory for '
+                    f'them, {self._memory.limit_bytes} bytes',
+                    limit=CallerLimit.MEMORY,
+                )
+            )
+
     def _count_head(self, size: int) -> None:
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits.max_head_bytes:
@@ -262,3 +319,13 @@
         if self._error is None:
             self._error = error
         raise self._error
+
+
+def _decode_fields(lines: bytearray) -> tuple[tuple[str, str], ...]:
+    fields = []
+    for line in lines.split(b'\n')[:-1]:
+        name, _, value = line.partition(b':')
+        fields.append(
+            (name.decode('latin-1'), value.decode('utf-8', 'surrogateescape'))
+        )
+    return tuple(fields)
--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -142,10 +142,11 @@
 
     def error_response(self, error: RequestError) -> CallerResponse:
         """Response to a request that could not be parsed."""
+        headers = [('Content-Type', 'text/plain; charset=utf-8')]
+        if error.status == _DID_NOT_RUN_STATUS:
+            headers.append(('Retry-After', f'{RETRY_AFTER_S:.2f}'))
         return CallerResponse(
-            error.status,
-            (('Content-Type', 'text/plain; charset=utf-8'),),
-            f'{error}\n'.encode(),
+            error.status, tuple(headers), f'{error}\n'.encode()
         )
 
     def _parse(
@@ -187,6 +188,7 @@
                 deadline=now + remaining - RESPONSE_MARGIN_S,
                 request_id=caller_fields.request_id,
                 route=route,
+                hold=http_request.hold,
             )
         )
 
--- a/tests/attempts/test_planned_stop.py
+++ b/tests/attempts/test_planned_stop.py
@@ -26,6 +26,7 @@
 from teaselrock.state import RefusalCode
 from teaselrock.state import Request
 from teaselrock.state import Verdict
+from teaselrock.transport.request_memory import RequestMemory
 
 WORK_S = 1.0
 
@@ -128,3 +129,29 @@
         assert instance.sent == [0.0]
 
     run_paused(main())
+
+
+def test_request_without_caller_is_held_until_it_ends() -> None:
+    """Guards against memory that counts as free while a build still runs.
+
+    The caller disconnects at once; a build then runs to its end.
+    """
+
+    async def main() -> None:
+        memory = RequestMemory()
+        held = memory.open()
+        held.resize(1000)
+        instance = _Instance()
+        build = request(route(is_idempotent=False), deadline=5.0)
+        dispatched = asyncio.create_task(
+            instance.dispatcher.dispatch(request=build._replace(hold=held))
+        )
+        await asyncio.sleep(WORK_S / 2)
+        dispatched.cancel()
+        held.release()
+        await asyncio.sleep(WORK_S / 4)
+        assert memory.total_bytes == 1000
+        await asyncio.sleep(WORK_S / 2)
+        assert memory.total_bytes == 0
+
+    run_paused(main())
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -19,6 +19,7 @@
 from teaselrock.daemon.metrics import MAX_CUSTOMER_LABELS
 from teaselrock.daemon.slot_metrics import InstanceStatsCollector
 from teaselrock.state.configuration import empty_document
+from teaselrock.transport.request_memory import RequestMemory
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -146,6 +147,7 @@
     metrics.register_instance(
         view=directory,
         in_flight=lambda: 3,
+        request_memory=RequestMemory(),
         collector=InstanceStatsCollector(read_stats=InstanceStats),
     )
     for name in (*document['customers'], 'unknown', ''):
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -18,6 +18,7 @@
 from teaselrock.protocol import problem
 from teaselrock.state import RefusalCode
 from teaselrock.state.configuration import empty_document
+from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.response_memory import ResponseMemory
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -63,6 +64,7 @@
     metrics.register_instance(
         view=FixedDirectory(document=empty_document(), servers=()),
         in_flight=lambda: 0,
+        request_memory=RequestMemory(),
         collector=collector,
     )
     types = re.findall(
--- a/tests/transport/test_request_parser.py
+++ b/tests/transport/test_request_parser.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 import pytest
 
+from teaselrock.state import NoRequestHold
 from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.request_parser import RequestParser
@@ -18,14 +20,32 @@
     max_head_bytes=300, max_body_bytes=200, head_timeout=3, idle_timeout=15
 )
 
+NO_HOLD = NoRequestHold()
+
 
 class Outcome(NamedTuple):
-    """Requests that were complete, and the status that ended them."""
+    """Requests that were complete, and the status that ended them.
+
+    `held_sizes` are the bytes that were accounted for each request.
+    """
 
     requests: list[CallerRequest]
+    held_sizes: list[int]
     error_status: int | None
 
 
+def _outcome(requests: list[CallerRequest], status: int | None) -> Outcome:
+    held_sizes = []
+    for request in requests:
+        assert isinstance(request.hold, HeldRequest)
+        held_sizes.append(request.hold.size)
+    return Outcome(
+        [request._replace(hold=NO_HOLD) for request in requests],
+        held_sizes,
+        status,
+    )
+
+
 def _parse(parts: list[bytes]) -> Outcome:
     parser = RequestParser(limits=LIMITS)
     requests: list[CallerRequest] = []
@@ -34,8 +54,8 @@
             requests += parser.feed(part)
         except RequestError as error:
             requests += parser.take_complete_requests()
-            return Outcome(requests, error.status)
-    return Outcome(requests, None)
+            return _outcome(requests, error.status)
+    return _outcome(requests, None)
 
 
 def _split(data: bytes, sizes: list[int]) -> Iterator[bytes]:
