Limit the memory of callers' requests on the product's interface

The crowds that exceeded the memory of the platform's gateways took a process of 200 MB on the other interface to 223 to 834 MB.

Cause: as on the platform's interface; what aiohttp received beside a request that was served had no limit either, but that of each connection.

Change: the front end uses the same account as the platform's gateways, from the new setting memory_mb (default 200). A request without room is refused with overloaded, did-not-run and Retry-After. A body of unknown length takes spare room only up to its own size, so that a small one stays small; without that, chunked requests of some bytes were refused beside a crowd (found by the new tests).

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -30,6 +30,7 @@
 from teaselrock.daemon import instance_stats
 from teaselrock.daemon import options as options_module
 from teaselrock.daemon import settings as settings_module
+from teaselrock.daemon.caller_limit_log import CallerLimitLog
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
 from teaselrock.daemon.null_ports import NoPeerLink
@@ -142,7 +143,10 @@
             on_event=self._metrics.on_event,
             on_dropped=self._metrics.on_log_line_dropped,
         )
-        self._request_memory = RequestMemory()
+        self._request_memory = RequestMemory(memory_bytes=options.memory_bytes)
+        self._caller_limit_log = CallerLimitLog(
+            events=self._events, metrics=self._metrics
+        )
         self._transports = self._make_transports()
         # The start time, so that each restart has a higher incarnation.
         self._incarnation = time.time_ns() // 1_000_000
@@ -164,6 +168,8 @@
             directory=self._instance.directory,
             digest_key=options.digest_key,
             observer=self._metrics,
+            memory=self._request_memory,
+            limit_observer=self._caller_limit_log,
         )
         self._operators_endpoint = self._make_operators_endpoint()
         self._caller_server: CallerServer | None = None
@@ -210,7 +216,9 @@
         """
         self._loop = asyncio.get_running_loop()
         self._caller_server = CallerServer(
-            self._front_end.handle, handler_cancellation=True
+            self._front_end.handle,
+            memory=self._request_memory,
+            observer=self._caller_limit_log,
         )
         self._events.start()
         if self._operators_endpoint is not None:
--- a/src/teaselrock/daemon/options.py
+++ b/src/teaselrock/daemon/options.py
@@ -12,6 +12,7 @@
 from teaselrock.state import BackendServer
 from teaselrock.state import Instance
 from teaselrock.state.configuration import Document
+from teaselrock.transport.request_memory import DEFAULT_MEMORY_BYTES
 from teaselrock.transport.zmq_peer_link import CurveKeys
 
 DEFAULT_LOG_LEVEL: Final = 'info'
@@ -31,6 +32,7 @@
     without peers. `store_url` is None for a standalone instance, which
     takes its configuration and its servers from `document` and `servers`.
     `digest_key` is the key of the digests of idempotency keys.
+    `memory_bytes` is the memory that the process may use.
     """
 
     own_instance: Instance
@@ -43,6 +45,7 @@
     seeds: tuple[Instance, ...] = ()
     log_level: str = DEFAULT_LOG_LEVEL
     stop_delay_s: float = 0.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     document: Document | None = None
     servers: tuple[BackendServer, ...] = ()
 
@@ -68,6 +71,7 @@
         seeds=_seeds(settings),
         log_level=settings.get('log_level', DEFAULT_LOG_LEVEL),
         stop_delay_s=settings.get('stop_delay_s', 0.0),
+        memory_bytes=_memory_bytes(settings),
         document=settings.get('configuration'),
         servers=_servers(settings),
     )
@@ -78,6 +82,13 @@
     return TcpAddress(host, int(port))
 
 
+def _memory_bytes(settings: GatewaySettings) -> int:
+    megabytes = settings.get('memory_mb')
+    if megabytes is None:
+        return DEFAULT_MEMORY_BYTES
+    return megabytes * 1_000_000
+
+
 def _curve_keys(settings: GatewaySettings) -> CurveKeys | None:
     public = settings.get('curve_public')
     secret = settings.get('curve_secret')
--- a/src/teaselrock/daemon/settings.py
+++ b/src/teaselrock/daemon/settings.py
@@ -57,6 +57,7 @@
     seeds: NotRequired[list[SeedSettings]]
     log_level: NotRequired[str]
     stop_delay_s: NotRequired[float]
+    memory_mb: NotRequired[int]
     configuration: NotRequired[Document]
     servers: NotRequired[list[ServerSettings]]
 
--- a/src/teaselrock/protocol/schemas.py
+++ b/src/teaselrock/protocol/schemas.py
@@ -13,6 +13,9 @@
 DIALECT: Final = 'https://json-schema.org/draft/2020-12/schema'
 MAX_DEADLINE_MS: Final = 3_600_000
 MAX_STOP_DELAY_S: Final = 600
+# A body of `max_body_bytes`, at most 64 MiB, has to fit into the part for
+# large requests (`transport.request_memory`).
+MIN_MEMORY_MB: Final = 200
 
 _NAME: Final = {
     'type': 'string',
@@ -272,6 +275,12 @@
                 'minimum': 0,
                 'maximum': MAX_STOP_DELAY_S,
             },
+            'memory_mb': _integer(
+                'Memory that the process may use, in 1,000,000 bytes. Two '
+                "fifths of it are for callers' requests. Default: 200.",
+                MIN_MEMORY_MB,
+                1_000_000,
+            ),
             'configuration': {
                 **CONFIGURATION,
                 'description': 'Fixed configuration, for an instance '
@@ -294,6 +303,7 @@
             'seeds',
             'log_level',
             'stop_delay_s',
+            'memory_mb',
             'configuration',
             'servers',
         ),
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import socket
 from typing import Any
 from typing import Final
@@ -18,6 +20,13 @@
 from teaselrock.state import Verdict
 from teaselrock.transport.accept_queue import accept_queued
 from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_limits import CallerLimitObserver
+from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
+from teaselrock.transport.caller_reader import RECEIVE_BYTES
+from teaselrock.transport.request_memory import HeldRequest
+from teaselrock.transport.request_memory import RequestMemory
 
 # Time for which input is read after a refused body. Closing a socket with
 # unread input resets the connection, and the caller could lose the refusal.
@@ -45,16 +54,80 @@
     )
 
 
-class _Connection(RequestHandler):
-    """Connection of a caller."""
+def count_read_ahead(http_request: web.BaseRequest) -> None:
+    """Account for what a caller sends until the response to its request.
 
-    __slots__ = ('_opened_at', '_has_received')
+    The body of the request has been read.
+    """
+    connection = http_request.protocol
+    if isinstance(connection, _Connection):
+        connection.begin_read_ahead()
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+
+class _Connection(RequestHandler, asyncio.BufferedProtocol):
+    """Connection of a caller; receives like `caller_reader`'s protocol."""
+
+    __slots__ = (
+        '_buffer',
+        '_has_received',
+        '_held',
+        '_is_reading_ahead',
+        '_observer',
+        '_opened_at',
+    )
+
+    def __init__(
+        self,
+        *arguments: Any,
+        buffer: bytearray,
+        held: HeldRequest,
+        observer: CallerLimitObserver,
+        **options: Any,
+    ) -> None:
         super().__init__(*arguments, **options)
+        self._buffer = buffer
+        self._held = held
+        self._observer = observer
+        self._is_reading_ahead = False
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
 
+    def begin_read_ahead(self) -> None:
+        """Account for received bytes from now on."""
+        self._is_reading_ahead = True
+
+    def end_read_ahead(self) -> None:
+        """Release these bytes; they are parsed now."""
+        self._is_reading_ahead = False
+        self._held.resize(0)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Called by the transport at the end."""
+        self._held.release()
+        super().connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> Any:
+        """Return the buffer to receive into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Called by the transport with the number of bytes received."""
+        if self._is_reading_ahead and not self._held.resize(
+            self._held.size + nbytes
+        ):
+            self._observer.on_caller_limit(
+                limit=CallerLimit.MEMORY,
+                detail='requests that were sent ahead have no room',
+            )
+            self.abort()
+            return
+        self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
     @property
     def expects_first_request(self) -> bool:
         """Whether the first request may still be on its way."""
@@ -89,11 +162,41 @@
         return response
 
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class CallerServer(web.Server):
-    """aiohttp server that leaves compressed bodies as they are."""
+    """aiohttp server that leaves compressed bodies as they are.
+
+    A request is cancelled when its caller disconnects.
+    """
 
     _shutdown_timeout_s: float | None = None
 
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        memory: RequestMemory | None = None,
+        observer: CallerLimitObserver = NoCallerLimitObserver(),
+    ) -> None:
+        super().__init__(self._handle, handler_cancellation=True)
+        self._handler = handler
+        self._memory = memory or RequestMemory()
+        self._observer = observer
+        # All connections receive into this buffer, one after the other.
+        self._receive_buffer = bytearray(RECEIVE_BYTES)
+
+    async def _handle(
+        self, http_request: web.BaseRequest
+    ) -> web.StreamResponse:
+        try:
+            return await self._handler(http_request)
+        finally:
+            connection = http_request.protocol
+            if isinstance(connection, _Connection):
+                connection.end_read_ahead()
+
     def set_shutdown_timeout(self, *, seconds: float) -> None:
         """Set the longest wait for requests in progress at shutdown."""
         self._shutdown_timeout_s = seconds
@@ -130,4 +233,8 @@
             loop=self._loop,
             auto_decompress=False,
             lingering_time=LINGER_S,
+            read_bufsize=READ_AHEAD_BYTES,
+            buffer=self._receive_buffer,
+            held=self._memory.open(),
+            observer=self._observer,
         )
--- a/src/teaselrock/transport/front_end.py
+++ b/src/teaselrock/transport/front_end.py
@@ -35,14 +35,24 @@
 from teaselrock.state import Verdict
 from teaselrock.state.configuration import ServiceEntry
 from teaselrock.transport import lookup
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_limits import CallerLimitObserver
+from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_server import count_read_ahead
 from teaselrock.transport.caller_server import refusal_response
 from teaselrock.transport.lookup import LookupTables
+from teaselrock.transport.request_memory import FIELD_BYTES
+from teaselrock.transport.request_memory import HeldRequest
+from teaselrock.transport.request_memory import RequestMemory
 
 DEFAULT_MAX_BODY_BYTES: Final = 1024 * 1024
 MAX_IDEMPOTENCY_KEY_CHARS: Final = 255
 # Reported as the refusal code of a request whose caller disconnected before
 # the response.
 CALLER_DISCONNECTED: Final = 'caller-gone'
+# Retry-After of a request for which the memory has no room. Other instances
+# may have room at once, and a caller with a deadline cannot wait for long.
+MEMORY_RETRY_AFTER_S: Final = 1.0
 _BEARER_PREFIX: Final = 'bearer '
 _DECIMAL: Final = re.compile(r'[0-9]{1,9}')
 _SINGLETON_FIELDS: Final = (
@@ -58,6 +68,14 @@
     return Refusal(code, Verdict.DID_NOT_RUN, detail)
 
 
+_NO_MEMORY: Final = Refusal(
+    RefusalCode.OVERLOADED,
+    Verdict.DID_NOT_RUN,
+    'requests of all callers exceed the memory for them',
+    retry_after=MEMORY_RETRY_AFTER_S,
+)
+
+
 class FrontEnd:
     """Handles callers' requests."""
 
@@ -68,11 +86,15 @@
         directory: Directory,
         digest_key: bytes,
         observer: RequestObserver = NoEvents(),
+        memory: RequestMemory | None = None,
+        limit_observer: CallerLimitObserver = NoCallerLimitObserver(),
     ) -> None:
         self._dispatcher = dispatcher
         self._directory = directory
         self._digest_key = digest_key
         self._observer = observer
+        self._memory = memory or RequestMemory()
+        self._limit_observer = limit_observer
         self._tables = LookupTables(document=directory.document)
         self._is_closing = False
 
@@ -88,17 +110,19 @@
         started = loop.time()
         customer = service = ''
         verdict, code = Verdict.MAY_HAVE_RUN.value, CALLER_DISCONNECTED
+        held = self._memory.open()
         try:
             parsed = self._parse_head(http_request)
             if parsed.is_ok():
                 customer, service = parsed.ok.customer, parsed.ok.service
                 result = await self._read_body_and_dispatch(
-                    http_request, parsed.ok
+                    http_request, parsed.ok, held
                 )
             else:
                 result = Error(parsed.error)
             verdict, code = _outcome(result)
         finally:
+            held.release()
             self._observer.on_request(
                 customer=customer,
                 service=service,
@@ -117,7 +141,10 @@
         return response
 
     async def _read_body_and_dispatch(
-        self, http_request: web.BaseRequest, request: Request
+        self,
+        http_request: web.BaseRequest,
+        request: Request,
+        held: HeldRequest,
     ) -> Result[BackendResponse, Refusal]:
         entry = self._current_tables().document['services'][request.service]
         checked = self._dispatcher.check(request=request)
@@ -125,12 +152,17 @@
             return self._dispatcher.refuse(
                 request=request, refusal=checked.error
             )
-        read = await _read_body(http_request, entry, request.deadline)
+        read = await _read_body(http_request, entry, request.deadline, held)
         if read.is_error():
+            if read.error is _NO_MEMORY:
+                self._limit_observer.on_caller_limit(
+                    limit=CallerLimit.MEMORY, detail=_NO_MEMORY.detail
+                )
             return self._dispatcher.refuse(request=request, refusal=read.error)
+        count_read_ahead(http_request)
         content = request.content._replace(body=read.ok)
         return await self._dispatcher.dispatch(
-            request=request._replace(content=content)
+            request=request._replace(content=content, hold=held)
         )
 
     def _current_tables(self) -> LookupTables:
@@ -301,7 +333,10 @@
 
 
 async def _read_body(
-    http_request: web.BaseRequest, service: ServiceEntry, deadline: float
+    http_request: web.BaseRequest,
+    service: ServiceEntry,
+    deadline: float,
+    held: HeldRequest,
 ) -> Result[bytes | bytearray, Refusal]:
     max_bytes = service.get('max_body_bytes', DEFAULT_MAX_BODY_BYTES)
     too_large = Error(
@@ -312,6 +347,9 @@
     )
     if (http_request.content_length or 0) > max_bytes:
         return too_large
+    head_bytes = _head_bytes(http_request)
+    if not held.resize(head_bytes + (http_request.content_length or 0)):
+        return Error(_NO_MEMORY)
     body = bytearray()
     try:
         async with asyncio.timeout_at(deadline):
@@ -320,6 +358,8 @@
                 body += chunk
                 if len(body) > max_bytes:
                     return too_large
+                if not held.grow(head_bytes + len(body)):
+                    return Error(_NO_MEMORY)
     except TimeoutError:
         return Error(
             _refusal(
@@ -338,6 +378,14 @@
     return Ok(body)
 
 
+def _head_bytes(http_request: web.BaseRequest) -> int:
+    """What a head takes in memory, as objects."""
+    return sum(
+        len(name) + len(value) + FIELD_BYTES
+        for name, value in http_request.headers.items()
+    )
+
+
 async def _send_continue(http_request: web.BaseRequest) -> None:
     """Send 100 Continue if the caller expects it before the body."""
     expected = http_request.headers.get('Expect', '').lower() == '100-continue'
--- a/src/teaselrock/transport/request_memory.py
+++ b/src/teaselrock/transport/request_memory.py
@@ -18,6 +18,11 @@
 # of large ones does not shut out everybody.
 SMALL_REQUESTS_SHARE: Final = 1 / 10
 MAX_SMALL_BYTES: Final = 64 * 1024
+# What a field of a complete head takes beside its text: two strings and the
+# tuples of the received and of the forwarded fields.
+FIELD_BYTES: Final = 256
+# Room that a body of unknown length may take before it needs it.
+MAX_SPARE_BYTES: Final = 64 * 1024
 
 
 class HeldRequest:
@@ -47,6 +52,17 @@
         self._size = size
         return True
 
+    def grow(self, size: int) -> bool:
+        """Count at least `size` bytes; False if they have no room.
+
+        For a body of unknown length, which gets room for its next part if
+        there is some.
+        """
+        if size <= self._size:
+            return True
+        spare = min(size, MAX_SPARE_BYTES)
+        return self.resize(size + spare) or self.resize(size)
+
     def retain(self) -> None:
         """Add a user; has no effect after the last release."""
         if self._users > 0:
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -15,17 +15,13 @@
 from teaselrock.state import RequestHold
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.request_memory import FIELD_BYTES
 from teaselrock.transport.request_memory import RequestMemory
 
 # Bytes of a request line besides its target, at most. The limit of a complete
 # head does not include them, so that an incomplete one may exceed it by them.
 _REQUEST_LINE_EXTRA_BYTES: Final = 32
 _FORBIDDEN_BYTES: Final = (b'\r', b'\n', b'\0')
-# What a field of a complete request takes beside its text: two strings and the
-# tuples of the received and of the forwarded fields.
-FIELD_BYTES: Final = 256
-# Steps in which a body of unknown length is accounted for.
-BODY_STEP_BYTES: Final = 64 * 1024
 
 
 class CallerRequest(NamedTuple):
@@ -253,10 +249,8 @@
         self._body += data
         if len(self._body) > self._limits.max_body_bytes:
             self._reject(self._body_error())
-        if self._parsed_head_bytes + len(self._body) > self._held.size:
-            self._hold(
-                self._parsed_head_bytes + len(self._body) + BODY_STEP_BYTES
-            )
+        if not self._held.grow(self._parsed_head_bytes + len(self._body)):
+            self._reject(self._memory_error())
 
     def on_message_complete(self) -> None:
         """Called by httptools at the end of a request."""
@@ -284,20 +278,21 @@
     def _hold(self, size: int) -> None:
         """Account for the request; rejects it if the memory has no room."""
         if not self._held.resize(size):
-            self._reject(
-                RequestError(
-                    status=503,
-                    detail='requests of all callers exceed the memory for '
-                    f'them, {self._memory.limit_bytes} bytes',
-                    limit=CallerLimit.MEMORY,
-                )
-            )
+            self._reject(self._memory_error())
 
     def _count_head(self, size: int) -> None:
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits.max_head_bytes:
             self._reject(self._head_error())
 
+    def _memory_error(self) -> RequestError:
+        return RequestError(
+            status=503,
+            detail='requests of all callers exceed the memory for them, '
+            f'{self._memory.limit_bytes} bytes',
+            limit=CallerLimit.MEMORY,
+        )
+
     def _head_error(self) -> RequestError:
         return RequestError(
             status=431,
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -25,7 +25,7 @@
 
 def _run(scenario: Scenario) -> None:
     async def main() -> None:
-        server = CallerServer(_respond, handler_cancellation=True)
+        server = CallerServer(_respond)
         runner = web.ServerRunner(server, access_log=None)
         await runner.setup()
         listening = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -34,6 +34,8 @@
 from teaselrock.state.configuration import empty_document
 from teaselrock.transport.caller_server import CallerServer
 from teaselrock.transport.front_end import FrontEnd
+from teaselrock.transport.request_memory import MAX_SMALL_BYTES
+from teaselrock.transport.request_memory import RequestMemory
 
 OUTSIDE = Refusal(
     RefusalCode.OUTSIDE_HOME_REGIONS, Verdict.DID_NOT_RUN, 'outside'
@@ -117,15 +119,18 @@
 
 @contextlib.asynccontextmanager
 async def _served(
-    dispatcher: ScriptedDispatcher, observer: RequestObserver = NoEvents()
+    dispatcher: ScriptedDispatcher,
+    observer: RequestObserver = NoEvents(),
+    memory: RequestMemory | None = None,
 ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
     front = FrontEnd(
         dispatcher=cast(Dispatcher, dispatcher),
         directory=FixedDirectory(document=_document(), servers=()),
         digest_key=b'test key',
         observer=observer,
+        memory=memory,
     )
-    server = CallerServer(front.handle, handler_cancellation=True)
+    server = CallerServer(front.handle)
     runner = web.ServerRunner(server, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
@@ -344,3 +349,46 @@
     interim, response = asyncio.run(_continue())
     assert interim == b'HTTP/1.1 100 Continue\r\n\r\n'
     assert response.status == 200
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+def test_request_without_room_is_refused(framing: str) -> None:
+    """Guards against requests that are kept beyond the process's memory.
+
+    The refusal tells that the request has not run and when to come back.
+    """
+    sent = {
+        'length': post('Content-Length: 5\r\n') + 'hello',
+        'chunks': post('Transfer-Encoding: chunked\r\n')
+        + '5\r\nhello\r\n0\r\n\r\n',
+    }[framing]
+
+    async def main() -> None:
+        memory = RequestMemory()
+        others = memory.open()
+        others.resize(memory.limit_bytes // 2)
+        while memory.open().resize(MAX_SMALL_BYTES):
+            pass
+        memory.open().resize(memory.limit_bytes - memory.total_bytes)
+        dispatcher = ScriptedDispatcher(BackendResponse(200, (), b'ok'))
+        async with (
+            asyncio.timeout(60),
+            _served(dispatcher, memory=memory) as (reader, writer),
+        ):
+            writer.write(sent.encode())
+            response = await _read(reader)
+            assert response.status == 503
+            assert response.field('Request-Verdict') == ['did-not-run']
+            assert response.field('Retry-After') == ['1']
+            assert dispatcher.requests == []
+            others.release()
+            total_bytes = memory.total_bytes
+        async with (
+            asyncio.timeout(60),
+            _served(dispatcher, memory=memory) as (reader, writer),
+        ):
+            writer.write(sent.encode())
+            assert (await _read(reader)).status == 200
+            assert memory.total_bytes == total_bytes
+
+    asyncio.run(main())
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -112,11 +112,16 @@
             handler=self.handler, memory=self.memory, observer=self.observer
         )
 
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        assert self.listener.address is not None
+        return await asyncio.open_connection(*self.listener.address)
+
     async def send(
         self, size: int, announced: int
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        assert self.listener.address is not None
-        reader, writer = await asyncio.open_connection(*self.listener.address)
+        reader, writer = await self.connect()
         head = f'POST / HTTP/1.1\r\nContent-Length: {announced}\r\n\r\n'
         writer.write(head.encode() + b'x' * size)
         await writer.drain()
@@ -205,17 +210,26 @@
     asyncio.run(main())
 
 
-def test_small_request_is_served_beside_large_ones() -> None:
-    """Guards against a crowd of unfinished bodies that shuts out everybody."""
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+def test_small_request_is_served_beside_large_ones(framing: str) -> None:
+    """Guards against a crowd of unfinished bodies that shuts out everybody.
+
+    The crowd holds all that large requests may.
+    """
+    sent = {
+        'length': b'Content-Length: 1000\r\n\r\n' + b'x' * 1000,
+        'chunks': b'Transfer-Encoding: chunked\r\n\r\n'
+        b'3e8\r\n' + b'x' * 1000 + b'\r\n0\r\n\r\n',
+    }[framing]
 
     async def main() -> None:
         async with _listening() as connections:
             connections.handler.release.set()
-            _, holding = await connections.send(0, BODY_BYTES)
-            await connections.wait_for_total(at_least=BODY_BYTES)
-            reader, writer = await connections.send(1000, 1000)
+            while connections.memory.open().resize(MAX_SMALL_BYTES + 1):
+                pass
+            reader, writer = await connections.connect()
+            writer.write(b'POST / HTTP/1.1\r\n' + sent)
             assert await reader.readline() == b'HTTP/1.1 200 OK\r\n'
-            holding.close()
             writer.close()
 
     asyncio.run(main())
