End unfinished bodies at the deadline of their request

A caller that stopped short of the end of a body kept it in the gateway's memory for as long as it sent one byte in each idle timeout.

Cause: only a silence of idle_timeout ended a body.

Change: a body has the time limit of its request from the head on, the shorter of the route's timeout and the time that the caller still waits. Then nobody waits for the response, and 408 says that the request has not run. Without a route the limit of a head holds. Time in which the gateway does not read, since earlier requests of the connection have to end first, does not count.

Evidence: test_unfinished_body_ends_at_its_time_limit fails without the change (the connection is closed without a response, or never).

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -61,6 +61,10 @@
         """Whether the request may start before earlier responses are sent."""
         ...
 
+    def time_limit(self, request: CallerRequest) -> float:
+        """Seconds from the head of a request to its response at most."""
+        ...
+
     async def serve(self, request: CallerRequest) -> CallerResponse:
         """Serve one request; raises nothing except on cancellation."""
         ...
@@ -70,6 +74,18 @@
         ...
 
 
+class _RequestPart(NamedTuple):
+    """Head or body of a request, which `number` counts."""
+
+    number: int
+    is_body: bool
+
+    @property
+    def name(self) -> str:
+        """Name of the part in messages."""
+        return 'body' if self.is_body else 'head'
+
+
 class _PendingRequest(NamedTuple):
     """A request that is served; its body belongs to the task alone."""
 
@@ -104,10 +120,11 @@
         self._error: RequestError | None = None
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
-        # The request whose head is being read, by the parser's count, and
-        # the time that reading it has taken, in seconds.
-        self._timed_request = 0
-        self._head_read_s = 0.0
+        # The head or body that is being read, and the time that reading it
+        # has taken, in seconds.
+        self._timed_part = _RequestPart(0, is_body=False)
+        self._part_read_s = 0.0
+        self._body_time_limit = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -199,8 +216,8 @@
     async def _read(self) -> bytes:
         """Read within the time limits; b'' if the connection has to end."""
         limits = self._handler.limits
-        if self._parser.is_in_head:
-            return await self._read_head(limits)
+        if self._parser.is_in_request:
+            return await self._read_part(limits)
         while True:
             try:
                 async with asyncio.timeout(limits.idle_timeout):
@@ -209,31 +226,45 @@
                 if not self._pending:
                     return b''
 
-    async def _read_head(self, limits: CallerLimits) -> bytes:
-        """Read more of a head; b'' if it takes too long.
+    async def _read_part(self, limits: CallerLimits) -> bytes:
+        """Read more of a head or body; b'' if it takes too long.
 
-        All reads of one head share its time limit. Time in which nothing is
+        All reads of one part share its time limit. Time in which nothing is
         read, since earlier requests have to end first, does not count.
         """
-        if self._parser.requests_begun != self._timed_request:
-            self._timed_request = self._parser.requests_begun
-            self._head_read_s = 0.0
+        part = _RequestPart(
+            self._parser.requests_begun, self._parser.is_in_body
+        )
+        if part != self._timed_part:
+            self._timed_part = part
+            self._part_read_s = 0.0
+            if part.is_body:
+                self._body_time_limit = self._handler.time_limit(
+                    self._parser.incomplete_request
+                )
+        time_limit = (
+            self._body_time_limit if part.is_body else limits.head_timeout
+        )
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         try:
             async with asyncio.timeout(
-                max(0.0, limits.head_timeout - self._head_read_s)
+                min(
+                    max(0.0, time_limit - self._part_read_s),
+                    limits.idle_timeout,
+                )
             ):
                 return await self._reader.read(READ_BYTES)
         except TimeoutError:
             self._error = RequestError(
                 status=408,
-                detail='request head was not complete after '
-                f'{limits.head_timeout:g} s',
+                detail=f'request {part.name} was not complete in time, '
+                f'{time_limit:g} s',
+                limit=CallerLimit.BODY_TIME if part.is_body else None,
             )
             return b''
         finally:
-            self._head_read_s += loop.time() - started_at
+            self._part_read_s += loop.time() - started_at
 
     async def _start_requests(self, requests: list[CallerRequest]) -> None:
         """Start to serve requests in their order."""
--- a/src/teaselrock/transport/operators_listener.py
+++ b/src/teaselrock/transport/operators_listener.py
@@ -36,6 +36,10 @@
         """True: reading a page has no effect."""
         return True
 
+    def time_limit(self, request: CallerRequest) -> float:
+        """That of a head: a page takes no time."""
+        return LIMITS.head_timeout
+
     async def serve(self, request: CallerRequest) -> CallerResponse:
         """Serve one page."""
         shown_page = page(
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -108,6 +108,16 @@
         """Whether a request has begun and is not complete."""
         return self._is_in_head or self._is_in_body
 
+    @property
+    def is_in_body(self) -> bool:
+        """Whether a head is complete and its body is not."""
+        return self._is_in_body
+
+    @property
+    def incomplete_request(self) -> CallerRequest:
+        """Request whose body is being received, as far as it has come."""
+        return self._make_request()
+
     @property
     def requests_begun(self) -> int:
         """Number of requests that have begun."""
@@ -261,20 +271,21 @@
             + field_count * FIELD_BYTES
             + len(self._body)
         )
-        self._requests.append(
-            CallerRequest(
-                self._parser.get_method().decode('ascii'),
-                self._target.decode('latin-1'),
-                _decode_fields(self._field_lines),
-                self._body,
-                self._parser.should_keep_alive(),
-                self._held,
-            )
-        )
+        self._requests.append(self._make_request())
         self._held = self._memory.open()
         # The request owns its body from here on.
         self._body = bytearray()
 
+    def _make_request(self) -> CallerRequest:
+        return CallerRequest(
+            self._parser.get_method().decode('ascii'),
+            self._target.decode('latin-1'),
+            _decode_fields(self._field_lines),
+            self._body,
+            self._parser.should_keep_alive(),
+            self._held,
+        )
+
     def _hold(self, size: int) -> None:
         """Account for the request; rejects it if the memory has no room."""
         if not self._held.resize(size):
--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -30,6 +30,7 @@
 from teaselrock.state import RequestContent
 from teaselrock.state import Verdict
 from teaselrock.state.routes import CallerLimits
+from teaselrock.state.routes import Route
 from teaselrock.transport.caller_connection import CallerResponse
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -108,6 +109,15 @@
         )
         return route is None or route.is_idempotent
 
+    def time_limit(self, request: CallerRequest) -> float:
+        """Time until the deadline; that of a head if there is no route."""
+        route = self._view.index.match(
+            host=request.field('host') or '', target=request.target
+        )
+        if route is None:
+            return self.limits.head_timeout
+        return _time_left(route, self._dialect.read(request))
+
     async def serve(self, request: CallerRequest) -> CallerResponse:
         """Serve one request and report its outcome to the observer."""
         loop = asyncio.get_running_loop()
@@ -170,9 +180,7 @@
                 )
             )
         now = asyncio.get_running_loop().time()
-        remaining = route.timeout
-        if caller_fields.remaining is not None:
-            remaining = min(remaining, caller_fields.remaining)
+        remaining = _time_left(route, caller_fields)
         return Ok(
             Request(
                 customer='',
@@ -206,6 +214,13 @@
         return CallerResponse(status, tuple(headers), problem.body(refusal))
 
 
+def _time_left(route: Route, caller_fields: CallerFields) -> float:
+    """Seconds in which the caller and the route's operator want a response."""
+    if caller_fields.remaining is None:
+        return route.timeout
+    return min(route.timeout, caller_fields.remaining)
+
+
 def _unrouted_request(
     http_request: CallerRequest, caller_fields: CallerFields
 ) -> Request:
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -12,12 +12,15 @@
 from teaselrock.transport import caller_connection
 from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 
 LIMITS = CallerLimits(
     max_head_bytes=2000, max_body_bytes=100, head_timeout=0.3, idle_timeout=0.6
 )
+# Of the handler's requests, from their heads on.
+TIME_LIMIT_S = 0.4
 QUEUED_CONNECTIONS = 5
 
 
@@ -35,6 +38,9 @@
     def may_pipeline(self, request: CallerRequest) -> bool:
         return request.method == 'GET'
 
+    def time_limit(self, request: CallerRequest) -> float:
+        return TIME_LIMIT_S
+
     async def serve(self, request: CallerRequest) -> CallerResponse:
         self.started.append(request.target)
         self.bodies.append(request.body)
@@ -353,6 +359,56 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('is_silent', [True, False])
+def test_unfinished_body_ends_at_its_time_limit(is_silent: bool) -> None:
+    """Guards against callers that hold a body by silence or single bytes.
+
+    Its request has not run, which the status tells.
+    """
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        async def send_parts() -> None:
+            client.writer.write(HEAD + b'Content-Length: 100\r\n\r\n')
+            for _ in range(99):
+                await asyncio.sleep(TIME_LIMIT_S / 5)
+                if not is_silent:
+                    client.writer.write(b'x')
+
+        sending = asyncio.create_task(send_parts())
+        try:
+            assert await client.read_response() == (408, b'', True)
+        finally:
+            sending.cancel()
+        assert handler.started == []
+
+    _run(scenario)
+
+
+def test_body_that_waits_for_earlier_responses_is_not_timed() -> None:
+    """Guards against 408 for a body that the gateway did not read."""
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        client.send(*(f'/wait/{n}' for n in range(MAX_PIPELINED_REQUESTS)))
+        await _until(lambda: len(handler.started) == MAX_PIPELINED_REQUESTS)
+        client.writer.write(
+            b'GET /next HTTP/1.1\r\n\r\n'
+            b'POST /last HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo'
+        )
+        await asyncio.sleep(TIME_LIMIT_S * 1.5)
+        client.writer.write(b'dy')
+        handler.release.set()
+        for _ in range(MAX_PIPELINED_REQUESTS + 1):
+            assert (await client.read_response())[0] == 200
+        assert await client.read_response() == (200, b'/last', False)
+        assert handler.bodies[-1] == b'body'
+
+    _run(scenario)
+
+
 def test_each_head_has_its_own_time_limit() -> None:
     """Guards against 408 for a head because of those before it.
 
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -22,6 +22,8 @@
 MEMORY_BYTES = 10_000_000
 LIMITS = CallerLimits(max_body_bytes=3_000_000)
 BODY_BYTES = 2_000_000
+TIME_LIMIT_S = 60.0
+TIME_LIMIT_S = 60.0
 # Ends a test whose connection neither responds nor closes.
 TIMEOUT_S = 20
 # What may be left of a connection of 2 MB when it has ended.
@@ -82,6 +84,9 @@
     def may_pipeline(self, request: CallerRequest) -> bool:
         return True
 
+    def time_limit(self, request: CallerRequest) -> float:
+        return TIME_LIMIT_S
+
     async def serve(self, request: CallerRequest) -> CallerResponse:
         self.started.set()
         await self.release.wait()
