Limit the framing of chunked bodies

Callers that sent bodies in chunks of one byte kept the event loop busy: each chunk is a call, and 64 KiB hold 10,900 of them, so that others were served late or not at all.

Cause: only the content of a body had a limit, and a connection was read until its input was empty before others got their turn.

Change: the framing of a body may take 256 KiB beside as much as its content. Beyond that a request gets 400 on the platform's interface, and the connection is closed on the other one, whose parser is aiohttp's. On the platform's interface a connection that sends small parts is read in steps of 4 KiB, with a turn for others between them.

Evidence: test_tiny_chunks_are_rejected, test_body_in_tiny_chunks_is_cut_off and test_small_chunks_leave_turns_to_others fail without the change (the last with 64 KiB in a turn) and pass with it.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -30,6 +30,9 @@
 from teaselrock.transport.request_parser import RequestParser
 
 READ_BYTES: Final = 65536
+# While a body comes in small parts, each of which takes time, other
+# connections get their turn after so many bytes.
+SMALL_PARTS_READ_BYTES: Final = 4096
 # Requests of one connection that are served concurrently.
 MAX_PIPELINED_REQUESTS: Final = 16
 # A caller that does not read its response within this time is disconnected.
@@ -212,6 +215,8 @@
             if self._parser.take_expect_continue():
                 self._writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             await self._start_requests(requests)
+            if self._parser.has_small_parts:
+                await asyncio.sleep(0)
 
     async def _read(self) -> bytes:
         """Read within the time limits; b'' if the connection has to end."""
@@ -254,7 +259,11 @@
                     limits.idle_timeout,
                 )
             ):
-                return await self._reader.read(READ_BYTES)
+                return await self._reader.read(
+                    SMALL_PARTS_READ_BYTES
+                    if self._parser.has_small_parts
+                    else READ_BYTES
+                )
         except TimeoutError:
             self._error = RequestError(
                 status=408,
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -11,6 +11,7 @@
 from typing import Any
 from typing import Final
 
+from aiohttp import StreamReader
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
@@ -22,6 +23,7 @@
 from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
+from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
@@ -68,6 +70,8 @@
     """Connection of a caller; receives like `caller_reader`'s protocol."""
 
     __slots__ = (
+        '_body',
+        '_body_wire_bytes',
         '_buffer',
         '_has_received',
         '_held',
@@ -89,9 +93,17 @@
         self._held = held
         self._observer = observer
         self._is_reading_ahead = False
+        # Body of the current request, and the bytes that came for it.
+        self._body: StreamReader | None = None
+        self._body_wire_bytes = 0
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
 
+    def begin_body(self, body: StreamReader) -> None:
+        """Limit the framing of a body that is received from now on."""
+        self._body = body
+        self._body_wire_bytes = body.total_bytes
+
     def begin_read_ahead(self) -> None:
         """Account for received bytes from now on."""
         self._is_reading_ahead = True
@@ -121,7 +133,22 @@
             )
             self.abort()
             return
+        body = self._body
+        if body is not None and not body.is_eof():
+            self._body_wire_bytes += nbytes
         self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+        if (
+            body is not None
+            and not body.is_eof()
+            and self._body_wire_bytes - body.total_bytes
+            > MAX_FRAMING_BYTES + body.total_bytes
+        ):
+            self._observer.on_caller_limit(
+                limit=CallerLimit.CHUNK_FRAMING,
+                detail='framing of the chunks exceeds the body by more than '
+                f'{MAX_FRAMING_BYTES} bytes',
+            )
+            self.abort()
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -190,12 +217,14 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
+        connection = http_request.protocol
+        if not isinstance(connection, _Connection):
+            raise TypeError('a request of another kind of connection')
+        connection.begin_body(http_request.content)
         try:
             return await self._handler(http_request)
         finally:
-            connection = http_request.protocol
-            if isinstance(connection, _Connection):
-                connection.end_read_ahead()
+            connection.end_read_ahead()
 
     def set_shutdown_timeout(self, *, seconds: float) -> None:
         """Set the longest wait for requests in progress at shutdown."""
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -15,9 +15,12 @@
 from teaselrock.state import RequestHold
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.request_memory import FIELD_BYTES
 from teaselrock.transport.request_memory import RequestMemory
 
+# Parts of a body that are smaller on average take more time than content.
+_SMALL_PART_BYTES: Final = 256
 # Bytes of a request line besides its target, at most. The limit of a complete
 # head does not include them, so that an incomplete one may exceed it by them.
 _REQUEST_LINE_EXTRA_BYTES: Final = 32
@@ -90,7 +93,11 @@
         self._received_head_bytes = 0
         # Bytes in the current body that follow its last part, if known.
         self._bytes_since_body = 0
-        self._has_body_part = False
+        # Parts of bodies in the last segment, and bytes between them in the
+        # current body.
+        self._body_parts = 0
+        self._framing_bytes = 0
+        self._has_small_parts = False
         self._is_in_head = False
         self._is_in_body = False
         self._begun = 0
@@ -123,6 +130,11 @@
         """Number of requests that have begun."""
         return self._begun
 
+    @property
+    def has_small_parts(self) -> bool:
+        """Whether the last segment held bodies in many small parts."""
+        return self._has_small_parts
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Set the limits of the following requests."""
         self._limits = limits
@@ -152,7 +164,8 @@
         complete requests before the rejected one.
         """
         was_in_body = self._is_in_body
-        self._has_body_part = False
+        body_size = len(self._body)
+        self._body_parts = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -165,7 +178,12 @@
             raise RequestError(
                 status=400, detail='malformed HTTP request'
             ) from error
+        self._has_small_parts = self._body_parts * _SMALL_PART_BYTES > len(
+            data
+        )
         self._count_incomplete(len(data), was_in_body=was_in_body)
+        if was_in_body and self._is_in_body and not self._requests:
+            self._count_framing(len(data) - (len(self._body) - body_size))
         if self._is_in_head:
             self._hold(self._received_head_bytes)
         return self.take_complete_requests()
@@ -190,7 +208,7 @@
             raise self._head_error()
         if (
             has_completed
-            or self._has_body_part
+            or self._body_parts
             or not (was_in_body and self._is_in_body)
         ):
             self._bytes_since_body = 0
@@ -203,6 +221,20 @@
                 f'{self._limits.max_head_bytes} bytes',
             )
 
+    def _count_framing(self, size: int) -> None:
+        """Limit what the framing of a chunked body takes.
+
+        Each chunk takes time, even if it holds a single byte.
+        """
+        self._framing_bytes += size
+        if self._framing_bytes > MAX_FRAMING_BYTES + len(self._body):
+            raise RequestError(
+                status=400,
+                detail='framing of the chunks exceeds the body by more than '
+                f'{MAX_FRAMING_BYTES} bytes',
+                limit=CallerLimit.CHUNK_FRAMING,
+            )
+
     def take_complete_requests(self) -> list[CallerRequest]:
         """Requests that became complete since the last call."""
         requests = list(self._requests)
@@ -216,6 +248,7 @@
         self._field_lines = bytearray()
         self._body = bytearray()
         self._announced_body_bytes = 0
+        self._framing_bytes = 0
         self._parsed_head_bytes = 0
         self._is_in_head = True
         self._is_in_body = False
@@ -255,7 +288,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools for each part of the body."""
-        self._has_body_part = True
+        self._body_parts += 1
         self._body += data
         if len(self._body) > self._limits.max_body_bytes:
             self._reject(self._body_error())
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -1,6 +1,7 @@
 """Callers' connections: order, limits, disconnects and planned stops."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 import socket
@@ -15,6 +16,7 @@
 from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
+from teaselrock.transport.request_parser import RequestParser
 
 LIMITS = CallerLimits(
     max_head_bytes=2000, max_body_bytes=100, head_timeout=0.3, idle_timeout=0.6
@@ -472,3 +474,44 @@
         assert listener.connections == 0
 
     _run(scenario)
+
+
+def test_small_chunks_leave_turns_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a body in tiny chunks that blocks other connections.
+
+    Once the first segment has shown the chunks, little of the body is parsed
+    in one turn of the loop.
+    """
+    turn = 0
+    parsed: Counter[int] = Counter()
+    feed = RequestParser.feed
+
+    def count_feed(parser: RequestParser, data: bytes) -> list[CallerRequest]:
+        parsed[turn] += len(data)
+        return feed(parser, data)
+
+    monkeypatch.setattr(RequestParser, 'feed', count_feed)
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        nonlocal turn
+        handler.limits = LIMITS._replace(max_body_bytes=100_000)
+        # The limits of the next request are known after this one.
+        client.send('/first')
+        await client.read_response()
+        client.writer.write(HEAD + b'Transfer-Encoding: chunked\r\n\r\n')
+        client.writer.write(b'1\r\nx\r\n' * 40_000 + b'0\r\n\r\n')
+        response = asyncio.create_task(client.read_response())
+        while not response.done():
+            await asyncio.sleep(0)
+            turn += 1
+        assert response.result()[0] == 200
+
+    _run(scenario)
+    sizes = [size for _, size in sorted(parsed.items())]
+    first = next(n for n, size in enumerate(sizes) if size > 1000)
+    assert max(sizes) <= caller_connection.READ_BYTES
+    assert max(sizes[first + 1 :]) <= caller_connection.SMALL_PARTS_READ_BYTES
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -6,10 +6,14 @@
 import socket
 
 from aiohttp import web
+import pytest
 
 from teaselrock.transport.accept_queue import BACKLOG
+from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_server import CallerServer
+from teaselrock.transport.caller_server import Handler
 
+CHUNK = b'6\r\nxxxxxx\r\n'
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 QUEUED_CONNECTIONS = 5
 # Ends the test where a connection is neither served nor closed.
@@ -23,9 +27,15 @@
     return web.Response(text='done')
 
 
-def _run(scenario: Scenario) -> None:
+async def _read_and_respond(http: web.BaseRequest) -> web.StreamResponse:
+    async for _ in http.content.iter_any():
+        pass
+    return web.Response(text='done')
+
+
+def _run(scenario: Scenario, *, respond: Handler = _respond) -> None:
     async def main() -> None:
-        server = CallerServer(_respond)
+        server = CallerServer(respond)
         runner = web.ServerRunner(server, access_log=None)
         await runner.setup()
         listening = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
@@ -88,3 +98,45 @@
         writer.close()
 
     _run(scenario)
+
+
+def test_body_in_tiny_chunks_is_cut_off() -> None:
+    """Guards against chunks of one byte, each of which takes time.
+
+    The connection ends although nobody reads the body, and before it could
+    be complete.
+    """
+
+    async def scenario(address: tuple[str, int], stop: Stop) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b'POST /a HTTP/1.1\r\nHost: h\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        with pytest.raises(ConnectionError):
+            for _ in range(4 * MAX_FRAMING_BYTES // 1000):
+                writer.write(b'1\r\nx\r\n' * 1000)
+                await writer.drain()
+        writer.close()
+        await stop()
+
+    _run(scenario, respond=_read_and_respond)
+
+
+def test_small_chunks_are_read() -> None:
+    """Guards against a limit that callers with small chunks meet."""
+
+    async def scenario(address: tuple[str, int], stop: Stop) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        for chunk, count in ((b'1\r\nx\r\n', 50 * 1024), (CHUNK, 100_000)):
+            writer.write(
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+            writer.write(chunk * count + b'0\r\n\r\n')
+            assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+            await reader.readuntil(b'done')
+        writer.close()
+        await stop()
+
+    _run(scenario, respond=_read_and_respond)
--- a/tests/transport/test_request_parser.py
+++ b/tests/transport/test_request_parser.py
@@ -11,6 +11,8 @@
 
 from teaselrock.state import NoRequestHold
 from teaselrock.state.routes import CallerLimits
+from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -180,3 +182,41 @@
         tracemalloc.stop()
     assert caught.value.status == status
     assert kept_bytes < 20_000
+
+
+POST = b'POST / HTTP/1.1\r\n'
+
+
+def _tiny_chunks(size: int, count: int) -> bytes:
+    return b'%x\r\n%b\r\n' % (size, b'x' * size) * count
+
+
+@pytest.mark.parametrize('segment_chunks', [1, 7, 8192])
+def test_tiny_chunks_are_rejected(segment_chunks: int) -> None:
+    """Guards against callers that send far more framing than content.
+
+    The limit is met before a body of the largest size is complete.
+    """
+    size = 4 * MAX_FRAMING_BYTES
+    parser = RequestParser(limits=LIMITS._replace(max_body_bytes=size))
+    parser.feed(POST + b'Transfer-Encoding: chunked\r\n\r\n')
+    segment = _tiny_chunks(1, segment_chunks)
+    with pytest.raises(RequestError) as caught:
+        for _ in range(size // segment_chunks):
+            parser.feed(segment)
+    assert caught.value.limit is CallerLimit.CHUNK_FRAMING
+    assert caught.value.status == 400
+
+
+@pytest.mark.parametrize(
+    ('size', 'count'), [(1, 50 * 1024), (6, 300_000), (1024, 3000)]
+)
+def test_small_chunks_are_accepted(size: int, count: int) -> None:
+    """Guards against a limit that callers with small chunks meet."""
+    parser = RequestParser(limits=LIMITS._replace(max_body_bytes=4_000_000))
+    parser.feed(POST + b'Transfer-Encoding: chunked\r\n\r\n')
+    data = _tiny_chunks(size, count) + b'0\r\n\r\n'
+    requests = []
+    for start in range(0, len(data), 65536):
+        requests += parser.feed(data[start : start + 65536])
+    assert [request.body for request in requests] == [b'x' * size * count]
