Limit the number of callers' connections

Callers that open connections and send nothing, or a part of a head, took all 256 descriptors of a process, so that it could reach no server and no new caller could connect.

Cause: nothing limited the connections; max_fds of the settings was not read.

Change: callers may have three quarters of the descriptors and as many connections as a fifth of the memory holds at 16 KiB each (1,000 idle ones were measured to take 13 KiB each). Beyond that the connection that has waited longest for a request, or for the rest of one, is closed, so that idle ones go first and none whose request is served. Four connections are accepted in a turn of the event loop, as those closed in their place release their descriptors some turns later; with 16 the test still saw 256 open.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -9,6 +9,7 @@
 import asyncio
 import pathlib
 import random
+import resource
 import signal
 import socket
 import sys
@@ -46,6 +47,8 @@
 from teaselrock.transport.accept_queue import BACKLOG
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_server import CallerServer
+from teaselrock.transport.connection_table import ACCEPT_BATCH
+from teaselrock.transport.connection_table import connection_limit
 from teaselrock.transport.front_end import FrontEnd
 from teaselrock.transport.operators_endpoint import OperatorsEndpoint
 from teaselrock.transport.operators_pages import OperatorsSource
@@ -219,6 +222,10 @@
             self._front_end.handle,
             memory=self._request_memory,
             observer=self._caller_limit_log,
+            max_connections=connection_limit(
+                descriptors=_descriptor_limit(),
+                memory_bytes=self._options.memory_bytes,
+            ),
         )
         self._events.start()
         if self._operators_endpoint is not None:
@@ -235,9 +242,11 @@
             backlog=BACKLOG,
         )
         self._site = web.SockSite(
-            self._runner, self._listening, backlog=BACKLOG
+            self._runner, self._listening, backlog=ACCEPT_BATCH
         )
         await self._site.start()
+        # asyncio accepts as many in a turn as the queue may hold.
+        self._listening.listen(BACKLOG)
         self._is_listening = True
         self._events.emit(
             event=Event.GATEWAY_STARTED, incarnation=self._incarnation
@@ -355,6 +364,12 @@
         return longest_ms / 1000 + SLOW_CALLER_MARGIN_S
 
 
+def _descriptor_limit() -> int | None:
+    """Descriptors that the process may open, None without a limit."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
 async def _run(settings: GatewaySettings) -> int:
     gateway = Gateway(settings=settings)
     stop_requested = asyncio.Event()
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -41,6 +41,7 @@
 from teaselrock.state.configuration import empty_document
 from teaselrock.transport.backend import HttpConnector
 from teaselrock.transport.caller_connection import CallerListener
+from teaselrock.transport.connection_table import connection_limit
 from teaselrock.transport.operators_listener import make_operators_listener
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.relay_link import StreamRelayLink
@@ -118,9 +119,8 @@
         self._response_memory = ResponseMemory(
             limit_bytes=_response_memory_limit(settings)
         )
-        request_memory = RequestMemory(
-            memory_bytes=settings.limits.memory_bytes or DEFAULT_MEMORY_BYTES
-        )
+        memory_bytes = settings.limits.memory_bytes or DEFAULT_MEMORY_BYTES
+        request_memory = RequestMemory(memory_bytes=memory_bytes)
         self._store = StoreClient(
             address=(
                 f'{settings.store_address.host}:{settings.store_address.port}'
@@ -152,6 +152,10 @@
             observer=CallerLimitLog(
                 events=self._events, metrics=self._metrics
             ),
+            max_connections=connection_limit(
+                descriptors=settings.limits.max_descriptors,
+                memory_bytes=memory_bytes,
+            ),
         )
         self._operators_listener = make_operators_listener(
             source=OperatorsSource(
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -37,13 +37,15 @@
     Extra attempts of all instances may be up to `retry_share` of the requests
     of the last `retry_window_s`. The settings also allow a fixed number of
     extra attempts, which is not used. `memory_bytes` is the memory of the
-    machine, None if it is not stated.
+    machine and `max_descriptors` the number of descriptors that a process may
+    open, None if they are not stated.
     """
 
     retry_share: float = 0.1
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
     memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
 
 class ProcessSettings(NamedTuple):
@@ -119,6 +121,8 @@
         limits = _limits(document.get(field) or ())
         field = 'limits.memory_mb'
         limits = limits._replace(memory_bytes=_memory_bytes(document))
+        field = 'limits.max_fds'
+        limits = limits._replace(max_descriptors=_max_descriptors(document))
     except MALFORMED_ERRORS as error:
         return Error(SettingsError(field, str(error) or 'missing'))
     return Ok(
@@ -154,6 +158,15 @@
     return int(float(megabytes) * 1_000_000)
 
 
+def _max_descriptors(document: Any) -> int | None:
+    count = (document.get('limits') or {}).get('max_fds')
+    if count is None:
+        return None
+    if int(count) <= 0:
+        raise ValueError('must be positive')
+    return int(count)
+
+
 def _limits(assignments: Any) -> PlatformLimits:
     """Decode the limits, a list of strings `name=value`."""
     values: dict[str, float] = {}
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Coroutine
 import http
 from typing import Final
 from typing import NamedTuple
@@ -24,6 +25,9 @@
 from teaselrock.transport.caller_reader import CallerProtocol
 from teaselrock.transport.caller_reader import CallerReader
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
+from teaselrock.transport.connection_table import ACCEPT_BATCH
+from teaselrock.transport.connection_table import ConnectionTable
+from teaselrock.transport.connection_table import DEFAULT_LIMIT
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -108,12 +112,14 @@
         handler: RequestHandler,
         memory: RequestMemory,
         observer: CallerLimitObserver,
+        table: 'ConnectionTable[CallerConnection]',
         is_closing: Callable[[], bool],
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._observer = observer
+        self._table = table
         self._is_closing = is_closing
         self._parser = RequestParser(limits=handler.limits, memory=memory)
         self._pending: deque[_PendingRequest] = deque()
@@ -304,6 +310,7 @@
         task = asyncio.create_task(self._handler.serve(request))
         hold = request.hold
         task.add_done_callback(lambda _: hold.release())
+        self._table.begin_service(self)
         self._pending.append(
             _PendingRequest(request.method == 'HEAD', request.keep_alive, task)
         )
@@ -334,6 +341,8 @@
             finally:
                 self._response_written.set()
             self._pending.popleft()
+            if not self._pending:
+                self._table.end_service(self)
             if closes:
                 self._writer.close()
                 return
@@ -376,13 +385,16 @@
         handler: RequestHandler,
         memory: RequestMemory | None = None,
         observer: CallerLimitObserver = NoCallerLimitObserver(),
+        max_connections: int = DEFAULT_LIMIT,
     ) -> None:
         self._handler = handler
         self._memory = memory or RequestMemory()
         self._observer = observer
         # All connections receive into this buffer, one after the other.
         self._receive_buffer = bytearray(RECEIVE_BYTES)
-        self._connections: set[CallerConnection] = set()
+        self._connections: ConnectionTable[CallerConnection] = ConnectionTable(
+            limit=max_connections, observer=observer
+        )
         self._is_closing = False
         self._server: asyncio.Server | None = None
         # Tasks that set up connections from the queue of the closed socket.
@@ -404,8 +416,12 @@
     async def start(self, *, host: str, port: int) -> None:
         """Listen; raises `OSError` if the address cannot be bound."""
         self._server = await asyncio.get_running_loop().create_server(
-            self._make_protocol, host, port, backlog=BACKLOG
+            self._make_protocol, host, port, backlog=ACCEPT_BATCH
         )
+        for listening in self._server.sockets:
+            # asyncio accepts as many in a turn as the queue may hold.
+            with listening.dup() as queue:
+                queue.listen(BACKLOG)
 
     def begin_close(self) -> None:
         """Close each connection after its pending or next response."""
@@ -458,19 +474,24 @@
             detail='unread bytes of a connection have no room',
         )
 
-    async def _accept(
+    def _accept(
         self, reader: CallerReader, writer: asyncio.StreamWriter
-    ) -> None:
+    ) -> Coroutine[None, None, None]:
+        """Add a connection at once; the returned coroutine serves it."""
         connection = CallerConnection(
             reader=reader,
             writer=writer,
             handler=self._handler,
             memory=self._memory,
             observer=self._observer,
+            table=self._connections,
             is_closing=lambda: self._is_closing,
         )
         self._connections.add(connection)
+        return self._run(connection)
+
+    async def _run(self, connection: CallerConnection) -> None:
         try:
             await connection.run()
         finally:
-            self._connections.discard(connection)
+            self._connections.remove(connection)
--- a/src/teaselrock/transport/caller_reader.py
+++ b/src/teaselrock/transport/caller_reader.py
@@ -1,8 +1,8 @@
 """Stream of the bytes that a caller sends on one connection."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
 from typing import Final
 
@@ -57,7 +57,8 @@
         *,
         reader: CallerReader,
         accept: Callable[
-            [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+            [asyncio.StreamReader, asyncio.StreamWriter],
+            Coroutine[None, None, None],
         ],
         buffer: bytearray,
         on_overflow: Callable[[], None],
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -27,6 +27,8 @@
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
+from teaselrock.transport.connection_table import ConnectionTable
+from teaselrock.transport.connection_table import DEFAULT_LIMIT
 from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_memory import RequestMemory
 
@@ -206,8 +208,12 @@
         *,
         memory: RequestMemory | None = None,
         observer: CallerLimitObserver = NoCallerLimitObserver(),
+        max_connections: int = DEFAULT_LIMIT,
     ) -> None:
         super().__init__(self._handle, handler_cancellation=True)
+        self._table: ConnectionTable[_Connection] = ConnectionTable(
+            limit=max_connections, observer=observer
+        )
         self._handler = handler
         self._memory = memory or RequestMemory()
         self._observer = observer
@@ -221,10 +227,28 @@
         if not isinstance(connection, _Connection):
             raise TypeError('a request of another kind of connection')
         connection.begin_body(http_request.content)
+        self._table.begin_service(connection)
         try:
             return await self._handler(http_request)
         finally:
             connection.end_read_ahead()
+            self._table.end_service(connection)
+
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Called by a new connection."""
+        super().connection_made(handler, transport)
+        if isinstance(handler, _Connection):
+            self._table.add(handler)
+
+    def connection_lost(
+        self, handler: RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Called by a connection that has ended."""
+        if isinstance(handler, _Connection):
+            self._table.remove(handler)
+        super().connection_lost(handler, exc)
 
     def set_shutdown_timeout(self, *, seconds: float) -> None:
         """Set the longest wait for requests in progress at shutdown."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -123,6 +123,8 @@
         ('bounds', 5, 'bounds'),
         ('limits', {'memory_mb': 0}, 'limits.memory_mb'),
         ('limits', {'memory_mb': 'x'}, 'limits.memory_mb'),
+        ('limits', {'max_fds': 0}, 'limits.max_fds'),
+        ('limits', {'max_fds': 'x'}, 'limits.max_fds'),
     ],
 )
 def test_bad_settings_name_the_field(
