Limit what is read after a rejected request

A caller whose request was rejected could send at full speed for another second, and come back at once.

Change: reading ends after twice the largest body as well, at least 1 MiB, so that callers who send somewhat too much still get the response.

Evidence: test_input_after_a_rejection_is_limited fails without the limit, as the connection stays open until the time limit.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -41,8 +41,10 @@
 MAX_PIPELINED_REQUESTS: Final = 16
 # A caller that does not read its response within this time is disconnected.
 WRITE_TIMEOUT_S: Final = 10.0
-# Time for which input is still read after the response to an invalid request.
+# Time for which input is still read after the response to an invalid request,
+# and the least number of bytes after which that ends too.
 LINGER_S: Final = 1.0
+MIN_LINGER_BYTES: Final = 1024 * 1024
 # Interval at which a closing listener checks for connections that became idle.
 CLOSE_POLL_S: Final = 0.05
 _BODILESS_STATUSES: Final = frozenset({204, 304})
@@ -188,16 +190,22 @@
             self._writer.close()
 
     async def _linger(self) -> None:
-        """Read and discard input for `LINGER_S`.
+        """Read and discard input for `LINGER_S`, up to twice a largest body.
 
         Closing a socket with unread input resets the connection, and the
         caller could lose the response.
         """
         self._writer.write_eof()
+        remaining_bytes = max(
+            2 * self._handler.limits.max_body_bytes, MIN_LINGER_BYTES
+        )
         try:
             async with asyncio.timeout(LINGER_S):
-                while await self._reader.read(READ_BYTES):
-                    pass
+                while remaining_bytes > 0:
+                    data = await self._reader.read(READ_BYTES)
+                    if not data:
+                        return
+                    remaining_bytes -= len(data)
         except TimeoutError:
             # The caller is still sending; closing resets the connection.
             return
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -515,3 +515,27 @@
     first = next(n for n, size in enumerate(sizes) if size > 1000)
     assert max(sizes) <= caller_connection.READ_BYTES
     assert max(sizes[first + 1 :]) <= caller_connection.SMALL_PARTS_READ_BYTES
+
+
+def test_input_after_a_rejection_is_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rejected callers that keep the gateway reading.
+
+    The time limit does not end the connection here.
+    """
+    monkeypatch.setattr(caller_connection, 'LINGER_S', 60.0)
+    block = b'x' * caller_connection.MIN_LINGER_BYTES
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        client.writer.write(HEAD + b'Content-Length: 101\r\n\r\n')
+        assert (await client.read_response())[0] == 413
+        with pytest.raises(ConnectionError):
+            # More than the kernel keeps for both sides.
+            for _ in range(100):
+                client.writer.write(block)
+                await client.writer.drain()
+
+    _run(scenario)
