--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -7,9 +7,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 import contextlib
 import os
 import pathlib
+import signal
 from typing import NamedTuple
 from typing import Protocol
 
@@ -279,6 +281,22 @@
     assert peak_bytes(target.pid) < MEMORY_MB * 1_000_000
 
 
+async def play_stop(target: Target, stopped: Awaitable[int]) -> None:
+    """Stop a process by SIGTERM while a crowd leaves requests unfinished.
+
+    `stopped` returns the exit status of the process.
+    """
+    async with no_hang():
+        assert await is_served(target)
+        crowd = Crowd(target=target, sending=LEGAL_SENDINGS['unfinished'])
+        try:
+            await crowd.start()
+            os.kill(target.pid, signal.SIGTERM)
+            assert await stopped == 0
+        finally:
+            await crowd.close()
+
+
 def sent_ahead(target: Target) -> Sending:
     """Requests with bodies, each sent before the responses to earlier ones."""
     framing = f'Content-Length: {AHEAD_BODY_BYTES}\r\n'
--- a/tests/platform/test_platform_crowds.py
+++ b/tests/platform/test_platform_crowds.py
@@ -89,6 +89,16 @@
     _play(tmp_path, scenario)
 
 
+def test_stop_beside_a_crowd(tmp_path: pathlib.Path) -> None:
+    """Guards against a stop that waits for unfinished bodies."""
+
+    async def scenario(gateway: GatewayProcess) -> None:
+        assert gateway.process is not None
+        await crowd.play_stop(gateway, gateway.process.wait())
+
+    _play(tmp_path, scenario)
+
+
 def test_single_largest_body_is_served(tmp_path: pathlib.Path) -> None:
     """Guards against copies of a body that exceed the machine's memory."""
     size = crowd.USERS_MAX_BODY_BYTES
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -161,6 +161,11 @@
             response_fields[fields.EXCHANGE_NUMBER] = number
         return web.Response(text='done', headers=response_fields)
 
+    async def wait_ended(self) -> int:
+        """Wait until the process ends; returns its exit status."""
+        assert self._process is not None
+        return await self._process.wait()
+
     async def stop(self) -> None:
         if self._process is not None and self.is_running:
             self._process.kill()
@@ -265,6 +270,11 @@
     play(lambda gateway: crowd.play_crowd(gateway, crowd.sent_ahead(gateway)))
 
 
+def test_stop_beside_a_crowd(play: Play) -> None:
+    """Guards against a stop that waits for unfinished bodies."""
+    play(lambda gateway: crowd.play_stop(gateway, gateway.wait_ended()))
+
+
 def test_single_largest_body_is_served(
     tmp_path: pathlib.Path, gateway_settings: GatewaySettings
 ) -> None:
