Release a rejected body at once, and time heads by their own limit

A single small body no longer counts as small parts, which cost it a turn of the event loop.

Evidence: test_rejected_body_is_released_at_once and test_head_may_take_longer_than_the_idle_timeout fail without the change.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -164,7 +164,11 @@
         """Serve requests until either side closes the connection."""
         writer_task = asyncio.create_task(self._write_responses())
         try:
-            await self._read_requests()
+            try:
+                await self._read_requests()
+            finally:
+                # An incomplete request is not kept until the connection ends.
+                self._parser.close()
             if self._error is not None:
                 if self._error.limit is not None:
                     self._observer.on_caller_limit(
@@ -185,7 +189,6 @@
                 *(pending.response for pending in self._pending),
                 return_exceptions=True,
             )
-            self._parser.close()
             self._reader.close()
             self._writer.close()
 
@@ -264,15 +267,13 @@
         time_limit = (
             self._body_time_limit if part.is_body else limits.head_timeout
         )
+        remaining = max(0.0, time_limit - self._part_read_s)
+        if part.is_body:
+            remaining = min(remaining, limits.idle_timeout)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         try:
-            async with asyncio.timeout(
-                min(
-                    max(0.0, time_limit - self._part_read_s),
-                    limits.idle_timeout,
-                )
-            ):
+            async with asyncio.timeout(remaining):
                 return await self._reader.read(
                     SMALL_PARTS_READ_BYTES
                     if self._parser.has_small_parts
--- a/src/teaselrock/transport/caller_reader.py
+++ b/src/teaselrock/transport/caller_reader.py
@@ -24,7 +24,7 @@
         self._held = held
         self._unread_bytes = 0
 
-    def has_room(self, size: int) -> bool:
+    def reserve(self, size: int) -> bool:
         """Count `size` more bytes; False if the memory has no room."""
         if not self._held.resize(self._unread_bytes + size):
             return False
@@ -68,7 +68,7 @@
         self._buffer = buffer
         self._on_overflow = on_overflow
         # Bound here, since the protocol keeps no reference to its reader.
-        self._has_room = reader.has_room
+        self._reserve = reader.reserve
         self._caller_transport: asyncio.BaseTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -87,7 +87,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by the transport with the number of bytes received."""
-        if self._has_room(nbytes):
+        if self._reserve(nbytes):
             self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
         elif isinstance(self._caller_transport, asyncio.Transport):
             self._on_overflow()
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -19,7 +19,9 @@
 from teaselrock.transport.request_memory import FIELD_BYTES
 from teaselrock.transport.request_memory import RequestMemory
 
-# Parts of a body that are smaller on average take more time than content.
+# Parts of bodies that take more time than their content: more than so many in
+# a segment, and smaller on average.
+_MAX_FEW_PARTS: Final = 16
 _SMALL_PART_BYTES: Final = 256
 # Bytes of a request line besides its target, at most. The limit of a complete
 # head does not include them, so that an incomplete one may exceed it by them.
@@ -178,8 +180,8 @@
             raise RequestError(
                 status=400, detail='malformed HTTP request'
             ) from error
-        self._has_small_parts = self._body_parts * _SMALL_PART_BYTES > len(
-            data
+        self._has_small_parts = self._body_parts > max(
+            _MAX_FEW_PARTS, len(data) // _SMALL_PART_BYTES
         )
         self._count_incomplete(len(data), was_in_body=was_in_body)
         if was_in_body and self._is_in_body and not self._requests:
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -539,3 +539,18 @@
                 await client.writer.drain()
 
     _run(scenario)
+
+
+def test_head_may_take_longer_than_the_idle_timeout() -> None:
+    """Guards against 408 for a head that is within its own time limit."""
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        handler.limits = LIMITS._replace(head_timeout=20.0, idle_timeout=0.05)
+        client.writer.write(b'GET /slow HTTP/1.1\r\nHo')
+        await asyncio.sleep(0.2)
+        client.writer.write(b'st: h\r\n\r\n')
+        assert await client.read_response() == (200, b'/slow', False)
+
+    _run(scenario)
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -238,3 +238,25 @@
             writer.close()
 
     asyncio.run(main())
+
+
+def test_rejected_body_is_released_at_once() -> None:
+    """Guards against bodies that are kept while rejected input is read.
+
+    The caller goes on to send after the response.
+    """
+
+    async def main() -> None:
+        async with _listening() as connections:
+            reader, writer = await connections.connect()
+            size = LIMITS.max_body_bytes + 1
+            writer.write(
+                b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+                + b'%x\r\n' % size
+                + b'x' * size
+            )
+            assert b' 413 ' in await reader.readline()
+            assert connections.memory.total_bytes < 2 * MAX_SMALL_BYTES
+            writer.close()
+
+    asyncio.run(main())
