Limit the connections of the platform gateway's operators' endpoint

Its listener has an own limit of connections, which would have been 1,000, as many as callers may have on a small machine. Scrapers and readiness checks need few; beyond 32 the one that has waited longest is closed.

Evidence: test_operators_listener_closes_idle_connections fails without the limit, as 33 connections stay open.

--- a/src/teaselrock/transport/operators_listener.py
+++ b/src/teaselrock/transport/operators_listener.py
@@ -18,6 +18,8 @@
 
 # Limits for metric scrapers and the platform's readiness checks.
 LIMITS: Final = CallerLimits(max_body_bytes=1024, idle_timeout=10.0)
+# Descriptors and memory are for callers; scrapers and checks need few.
+MAX_CONNECTIONS: Final = 32
 
 
 class OperatorsHandler:
@@ -66,4 +68,4 @@
 ) -> CallerListener:
     """Create a listener that serves the operators' pages."""
     handler = OperatorsHandler(source=source, ready_path=ready_path)
-    return CallerListener(handler=handler)
+    return CallerListener(handler=handler, max_connections=MAX_CONNECTIONS)
--- a/tests/transport/test_connection_table.py
+++ b/tests/transport/test_connection_table.py
@@ -1,10 +1,17 @@
 """Limit of the number of callers' connections."""
 
+import asyncio
+
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.connection_table import connection_limit
 from teaselrock.transport.connection_table import ConnectionTable
+from teaselrock.transport.operators_listener import make_operators_listener
+from teaselrock.transport.operators_listener import MAX_CONNECTIONS
+from teaselrock.transport.operators_pages import OperatorsSource
 
 MB = 1_000_000
+# Ends a test whose listener does not respond.
+TIMEOUT_S = 20
 
 
 class Connection:
@@ -75,3 +82,35 @@
     assert connection_limit(descriptors=8192, memory_bytes=200 * MB) == 2441
     assert connection_limit(descriptors=None, memory_bytes=200 * MB) == 2441
     assert connection_limit(descriptors=1, memory_bytes=200 * MB) == 1
+
+
+def test_operators_listener_closes_idle_connections() -> None:
+    """Guards against idle connections that shut out the readiness check."""
+
+    async def main() -> None:
+        listener = make_operators_listener(
+            source=OperatorsSource(
+                is_alive=lambda: True,
+                is_ready=lambda: True,
+                metrics=lambda: b'',
+                status=dict,
+            )
+        )
+        await listener.start(host='127.0.0.1', port=0)
+        assert listener.address is not None
+        writers = []
+        async with asyncio.timeout(TIMEOUT_S):
+            for _ in range(MAX_CONNECTIONS + 1):
+                reader, writer = await asyncio.open_connection(
+                    *listener.address
+                )
+                writers.append(writer)
+            writer.write(b'GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n')
+            assert b' 200 ' in await reader.readline()
+            assert listener.connections == MAX_CONNECTIONS
+        for writer in writers:
+            writer.close()
+        listener.stop_accepting()
+        await listener.wait_closed(limit=0.0)
+
+    asyncio.run(main())
