Serve a single body in small chunks, and limit how many there are at once

Found in the last read of the change: a caller inside the users' limits, which say nothing of the size of chunks, was rejected for more than 50 KiB in chunks of one byte. No caller that is alone may meet a limit.

Change: four bodies at once may have more framing than the limit so far; further ones are refused with 503, as not run, or their connections are closed on the product's interface. There, connections that send small chunks now receive 4 KiB in a turn of the event loop, as on the platform's.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -22,6 +22,7 @@
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
 from teaselrock.transport.caller_reader import CallerProtocol
 from teaselrock.transport.caller_reader import CallerReader
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
@@ -34,9 +35,6 @@
 from teaselrock.transport.request_parser import RequestParser
 
 READ_BYTES: Final = 65536
-# While a body comes in small parts, each of which takes time, other
-# connections get their turn after so many bytes.
-SMALL_PARTS_READ_BYTES: Final = 4096
 # Requests of one connection that are served concurrently.
 MAX_PIPELINED_REQUESTS: Final = 16
 # A caller that does not read its response within this time is disconnected.
@@ -275,7 +273,7 @@
         try:
             async with asyncio.timeout(remaining):
                 return await self._reader.read(
-                    SMALL_PARTS_READ_BYTES
+                    SMALL_CHUNKS_READ_BYTES
                     if self._parser.has_small_parts
                     else READ_BYTES
                 )
--- a/src/teaselrock/transport/caller_limits.py
+++ b/src/teaselrock/transport/caller_limits.py
@@ -4,10 +4,13 @@
 from typing import Final
 from typing import Protocol
 
-# Bytes that the framing of a chunked body may take, beside as many as its
-# content. A body of 50 KiB may come in chunks of one byte, one of any size in
-# chunks of six bytes or more.
+# Bytes that the framing of a chunked body takes, beside as many as its
+# content, before the body counts as finely chunked. A body of 50 KiB may come
+# in chunks of one byte, one of any size in chunks of six bytes or more.
 MAX_FRAMING_BYTES: Final = 256 * 1024
+# Bytes that are parsed in one turn of the loop from a body in small chunks,
+# each of which takes time. Other connections then get their turn.
+SMALL_CHUNKS_READ_BYTES: Final = 4096
 
 
 class CallerLimit(enum.StrEnum):
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -25,6 +25,7 @@
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
@@ -106,13 +107,25 @@
         self._body = body
         self._body_wire_bytes = body.total_bytes
 
+    @property
+    def _framing_bytes(self) -> int:
+        """Bytes that came for the current body and are no content of it.
+
+        Content that is not parsed yet counts too, up to one receive call.
+        """
+        if self._body is None or self._body.is_eof():
+            return 0
+        return self._body_wire_bytes - self._body.total_bytes
+
     def begin_read_ahead(self) -> None:
-        """Account for received bytes from now on."""
+        """Account for received bytes from now on; the body is complete."""
+        self._held.end_fine_chunks()
         self._is_reading_ahead = True
 
     def end_read_ahead(self) -> None:
         """Release these bytes; they are parsed now."""
         self._is_reading_ahead = False
+        self._held.end_fine_chunks()
         self._held.resize(0)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -121,7 +134,9 @@
         super().connection_lost(exc)
 
     def get_buffer(self, sizehint: int) -> Any:
-        """Return the buffer to receive into."""
+        """Return the buffer to receive into, or a part of it."""
+        if self._framing_bytes > RECEIVE_BYTES:
+            return memoryview(self._buffer)[:SMALL_CHUNKS_READ_BYTES]
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -141,14 +156,12 @@
         self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
         if (
             body is not None
-            and not body.is_eof()
-            and self._body_wire_bytes - body.total_bytes
-            > MAX_FRAMING_BYTES + body.total_bytes
+            and self._framing_bytes > MAX_FRAMING_BYTES + body.total_bytes
+            and not self._held.allow_fine_chunks()
         ):
             self._observer.on_caller_limit(
                 limit=CallerLimit.CHUNK_FRAMING,
-                detail='framing of the chunks exceeds the body by more than '
-                f'{MAX_FRAMING_BYTES} bytes',
+                detail='too many bodies in small chunks are being received',
             )
             self.abort()
 
--- a/src/teaselrock/transport/request_memory.py
+++ b/src/teaselrock/transport/request_memory.py
@@ -21,6 +21,10 @@
 # What a field of a complete head takes beside its text: two strings and the
 # tuples of the received and of the forwarded fields.
 FIELD_BYTES: Final = 256
+# Finely chunked bodies that are received at once. Each chunk takes time, so
+# many such bodies would keep all others waiting; a caller that is alone may
+# send one of any size.
+MAX_FINELY_CHUNKED: Final = 4
 # Room that a body of unknown length may take before it needs it.
 MAX_SPARE_BYTES: Final = 64 * 1024
 
@@ -36,6 +40,7 @@
         self._memory = memory
         self._size = 0
         self._users = 1
+        self._is_finely_chunked = False
 
     @property
     def size(self) -> int:
@@ -63,6 +68,20 @@
         spare = min(size, MAX_SPARE_BYTES)
         return self.resize(size + spare) or self.resize(size)
 
+    def allow_fine_chunks(self) -> bool:
+        """Count a finely chunked body; False if there are too many."""
+        if not self._is_finely_chunked:
+            self._is_finely_chunked = (
+                self._users > 0 and self._memory.add_finely_chunked()
+            )
+        return self._is_finely_chunked
+
+    def end_fine_chunks(self) -> None:
+        """The body is complete or rejected."""
+        if self._is_finely_chunked:
+            self._is_finely_chunked = False
+            self._memory.remove_finely_chunked()
+
     def retain(self) -> None:
         """Add a user; has no effect after the last release."""
         if self._users > 0:
@@ -74,6 +93,7 @@
             return
         self._users -= 1
         if self._users == 0:
+            self.end_fine_chunks()
             self._memory.replace(self._size, 0)
             self._size = 0
 
@@ -91,6 +111,7 @@
         )
         self._total_bytes = 0
         self._large_bytes = 0
+        self._finely_chunked = 0
 
     @property
     def limit_bytes(self) -> int:
@@ -106,6 +127,17 @@
         """Account for a new request, which has no bytes so far."""
         return HeldRequest(memory=self)
 
+    def add_finely_chunked(self) -> bool:
+        """Count another finely chunked body; False if there are too many."""
+        if self._finely_chunked >= MAX_FINELY_CHUNKED:
+            return False
+        self._finely_chunked += 1
+        return True
+
+    def remove_finely_chunked(self) -> None:
+        """Stop counting a finely chunked body."""
+        self._finely_chunked -= 1
+
     def replace(self, old_size: int, new_size: int) -> bool:
         """Count `new_size` instead of `old_size`; False if it has no room."""
         total_bytes = self._total_bytes - old_size + new_size
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -224,16 +224,18 @@
             )
 
     def _count_framing(self, size: int) -> None:
-        """Limit what the framing of a chunked body takes.
+        """Limit the number of bodies whose framing exceeds their content.
 
         Each chunk takes time, even if it holds a single byte.
         """
         self._framing_bytes += size
-        if self._framing_bytes > MAX_FRAMING_BYTES + len(self._body):
+        if (
+            self._framing_bytes > MAX_FRAMING_BYTES + len(self._body)
+            and not self._held.allow_fine_chunks()
+        ):
             raise RequestError(
-                status=400,
-                detail='framing of the chunks exceeds the body by more than '
-                f'{MAX_FRAMING_BYTES} bytes',
+                status=503,
+                detail='too many bodies in small chunks are being received',
                 limit=CallerLimit.CHUNK_FRAMING,
             )
 
@@ -306,6 +308,7 @@
             + field_count * FIELD_BYTES
             + len(self._body)
         )
+        self._held.end_fine_chunks()
         self._requests.append(self._make_request())
         self._held = self._memory.open()
         # The request owns its body from here on.
