--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -119,6 +119,15 @@
 )
 
 
+def largest_body(framing: str) -> Sending:
+    """A body of the users' largest size, in one piece or in large chunks."""
+    if framing == 'length':
+        length = f'Content-Length: {USERS_MAX_BODY_BYTES}\r\n'
+        return Sending(length, b'x' * USERS_MAX_BODY_BYTES, 1)
+    chunks = USERS_MAX_BODY_BYTES // MIB
+    return Sending(_CHUNKED, _LARGE_CHUNK, chunks, b'0\r\n\r\n')
+
+
 class Target(Protocol):
     """A gateway process under test."""
 
--- a/tests/platform/test_platform_crowds.py
+++ b/tests/platform/test_platform_crowds.py
@@ -99,19 +99,24 @@
     _play(tmp_path, scenario)
 
 
-def test_single_largest_body_is_served(tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+def test_single_largest_body_is_served(
+    tmp_path: pathlib.Path, framing: str
+) -> None:
     """Guards against copies of a body that exceed the machine's memory."""
     size = crowd.USERS_MAX_BODY_BYTES
 
     async def scenario(gateway: GatewayProcess) -> None:
         reader, writer = await gateway.connect()
-        body = b'x' * size
+        sending = crowd.largest_body(framing)
         head = (
-            f'{gateway.crowd_head}Content-Length: {size}\r\n'
+            f'{gateway.crowd_head}{sending.framing}'
             f'{headers.DEADLINE_MS}: 60000\r\n\r\n'
         )
         writer.write(head.replace('/x/', '/y/').encode())
-        writer.write(body)
+        for _ in range(sending.count):
+            writer.write(sending.piece)
+        writer.write(sending.end)
         status_line = await reader.readline()
         writer.close()
         assert b' 200 ' in status_line
@@ -121,7 +126,7 @@
             for request in server.received
             if request.body
         ]
-        assert [request.body == body for request in received] == [True]
+        assert [request.body == b'x' * size for request in received] == [True]
         assert gateway.peak_bytes < crowd.MEMORY_MB * 1_000_000
 
     _play(tmp_path, scenario, max_body_bytes=size)
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -275,8 +275,9 @@
     play(lambda gateway: crowd.play_stop(gateway, gateway.wait_ended()))
 
 
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
 def test_single_largest_body_is_served(
-    tmp_path: pathlib.Path, gateway_settings: GatewaySettings
+    tmp_path: pathlib.Path, gateway_settings: GatewaySettings, framing: str
 ) -> None:
     """Guards against copies of a body that exceed the machine's memory."""
     size = crowd.USERS_MAX_BODY_BYTES
@@ -287,8 +288,11 @@
         ) as gateway:
             reader, writer = await gateway.connect()
             head = gateway.crowd_head.replace('/desk/', '/other/')
-            writer.write(f'{head}Content-Length: {size}\r\n\r\n'.encode())
-            writer.write(b'x' * size)
+            sending = crowd.largest_body(framing)
+            writer.write(f'{head}{sending.framing}\r\n'.encode())
+            for _ in range(sending.count):
+                writer.write(sending.piece)
+            writer.write(sending.end)
             status_line = await reader.readline()
             writer.close()
             assert b' 200 ' in status_line
