Test the release of unfinished bodies on the product's interface

The account and the memory were already released when the connection ends; the test guards that with the collector off.

--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import gc
 import hashlib
 import json
+import tracemalloc
 from typing import Any
 from typing import cast
 from typing import NamedTuple
@@ -42,7 +44,7 @@
 )
 
 
-def _document() -> Document:
+def _document(max_body_bytes: int) -> Document:
     document = empty_document()
     for key in ('secret', 'outside'):
         document['customers'][key] = {
@@ -55,7 +57,7 @@
             'concurrency': 2,
             'deadline_ms': 60_000,
             'non_idempotent_methods': ['POST'],
-            'max_body_bytes': 10,
+            'max_body_bytes': max_body_bytes,
         }
     return document
 
@@ -122,10 +124,13 @@
     dispatcher: ScriptedDispatcher,
     observer: RequestObserver = NoEvents(),
     memory: RequestMemory | None = None,
+    max_body_bytes: int = 10,
 ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
     front = FrontEnd(
         dispatcher=cast(Dispatcher, dispatcher),
-        directory=FixedDirectory(document=_document(), servers=()),
+        directory=FixedDirectory(
+            document=_document(max_body_bytes), servers=()
+        ),
         digest_key=b'test key',
         observer=observer,
         memory=memory,
@@ -392,3 +397,40 @@
             assert memory.total_bytes == total_bytes
 
     asyncio.run(main())
+
+
+def test_unfinished_body_is_released_with_its_connection() -> None:
+    """Guards against bodies that wait for the garbage collector."""
+    size = 2_000_000
+
+    async def main() -> None:
+        memory = RequestMemory()
+        dispatcher = ScriptedDispatcher(BackendResponse(200, (), b'ok'))
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            async with (
+                asyncio.timeout(60),
+                _served(dispatcher, memory=memory, max_body_bytes=size) as (
+                    _,
+                    writer,
+                ),
+            ):
+                writer.write(post(f'Content-Length: {size}\r\n').encode())
+                writer.write(b'x' * (size - 1))
+                while memory.total_bytes < size:
+                    await asyncio.sleep(0.005)
+                writer.close()
+                await writer.wait_closed()
+                while memory.total_bytes:
+                    await asyncio.sleep(0.005)
+                await asyncio.sleep(0.01)
+                left_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        assert left_bytes < size / 4
+        assert dispatcher.requests == []
+
+    asyncio.run(main())
