Share the trace of released memory and the connection of a request

The tests of both interfaces that check the release of memory share the tracing, and those of the largest body share how it is written. A request of another kind of server has one error instead of an error in one place and nothing in the other. The property is_in_head of the parser had no reader left.

--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -64,9 +64,15 @@
 
     The body of the request has been read.
     """
+    _connection(http_request).begin_read_ahead()
+
+
+def _connection(http_request: web.BaseRequest) -> '_Connection':
+    """Connection of a request; raises `TypeError` if it has another kind."""
     connection = http_request.protocol
-    if isinstance(connection, _Connection):
-        connection.begin_read_ahead()
+    if not isinstance(connection, _Connection):
+        raise TypeError('the request came to another kind of server')
+    return connection
 
 
 class _Connection(RequestHandler, asyncio.BufferedProtocol):
@@ -236,9 +242,7 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
-        connection = http_request.protocol
-        if not isinstance(connection, _Connection):
-            raise TypeError('a request of another kind of connection')
+        connection = _connection(http_request)
         connection.begin_body(http_request.content)
         self._table.begin_service(connection)
         try:
--- a/src/teaselrock/transport/request_parser.py
+++ b/src/teaselrock/transport/request_parser.py
@@ -107,11 +107,6 @@
         self._error: RequestError | None = None
         self._parser = httptools.HttpRequestParser(self)
 
-    @property
-    def is_in_head(self) -> bool:
-        """Whether a request head has begun and is not complete."""
-        return self._is_in_head
-
     @property
     def is_in_request(self) -> bool:
         """Whether a request has begun and is not complete."""
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -128,6 +128,13 @@
     return Sending(_CHUNKED, _LARGE_CHUNK, chunks, b'0\r\n\r\n')
 
 
+def write_body(writer: asyncio.StreamWriter, sending: Sending) -> None:
+    """Write a whole body, without waiting for the receiver."""
+    for _ in range(sending.count):
+        writer.write(sending.piece)
+    writer.write(sending.end)
+
+
 class Target(Protocol):
     """A gateway process under test."""
 
--- a/tests/platform/test_platform_crowds.py
+++ b/tests/platform/test_platform_crowds.py
@@ -114,9 +114,7 @@
             f'{headers.DEADLINE_MS}: 60000\r\n\r\n'
         )
         writer.write(head.replace('/x/', '/y/').encode())
-        for _ in range(sending.count):
-            writer.write(sending.piece)
-        writer.write(sending.end)
+        crowd.write_body(writer, sending)
         status_line = await reader.readline()
         writer.close()
         assert b' 200 ' in status_line
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -290,9 +290,7 @@
             head = gateway.crowd_head.replace('/desk/', '/other/')
             sending = crowd.largest_body(framing)
             writer.write(f'{head}{sending.framing}\r\n'.encode())
-            for _ in range(sending.count):
-                writer.write(sending.piece)
-            writer.write(sending.end)
+            crowd.write_body(writer, sending)
             status_line = await reader.readline()
             writer.close()
             assert b' 200 ' in status_line
--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import gc
 import hashlib
 import json
 import tracemalloc
@@ -15,6 +14,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+from memory_trace import traced_without_collector
 import pytest
 from refused_requests import AUTH
 from refused_requests import head
@@ -406,10 +406,7 @@
     async def main() -> None:
         memory = RequestMemory()
         dispatcher = ScriptedDispatcher(BackendResponse(200, (), b'ok'))
-        gc.collect()
-        gc.disable()
-        tracemalloc.start()
-        try:
+        with traced_without_collector():
             async with (
                 asyncio.timeout(60),
                 _served(dispatcher, memory=memory, max_body_bytes=size) as (
@@ -427,9 +424,6 @@
                     await asyncio.sleep(0.005)
                 await asyncio.sleep(0.01)
                 left_bytes, _ = tracemalloc.get_traced_memory()
-        finally:
-            tracemalloc.stop()
-            gc.enable()
         assert left_bytes < size / 4
         assert dispatcher.requests == []
 
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import gc
 import tracemalloc
 
 from hypothesis import given
 from hypothesis import strategies as st
+from memory_trace import traced_without_collector
 import pytest
 
 from teaselrock.state.routes import CallerLimits
@@ -163,10 +163,7 @@
 
     async def main() -> None:
         async with _listening() as connections:
-            gc.collect()
-            gc.disable()
-            tracemalloc.start()
-            try:
+            with traced_without_collector():
                 _, writer = await connections.send(
                     BODY_BYTES - missing, BODY_BYTES
                 )
@@ -180,9 +177,6 @@
                     await asyncio.sleep(0.005)
                 await asyncio.sleep(0.01)
                 left_bytes, _ = tracemalloc.get_traced_memory()
-            finally:
-                tracemalloc.stop()
-                gc.enable()
             assert left_bytes < LEFT_BYTES
 
     asyncio.run(main())
