Repeat load checks that timed out while the process stalled

Cause: load checks end after 250 ms. If the process itself does not run for that long, the timers run before the answers that have arrived are read, so all checks under way time out, the request is refused, and its servers count as unreachable for 0.5 s.

A timer that ends more than 50 ms late now shows the stall. The servers are not recorded as unreachable then, and are checked once more if none has answered. Without a stall nothing changes.

--- a/src/teaselrock/coordination/choice/load_checks.py
+++ b/src/teaselrock/coordination/choice/load_checks.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import functools
 from typing import Final
 from typing import NamedTuple
 
@@ -30,6 +31,11 @@
 LATE_ANSWER_TIMEOUT_S: Final = 0.006
 # A server that does not answer within this time is no candidate.
 CHECK_TIMEOUT_S: Final = 0.25
+# While checks wait for a first answer, a timer ends at least this often. If
+# one ends later than `MIN_STALL_S` after its time, the process did not run,
+# and answers that arrived meanwhile look like timeouts.
+STALL_POLL_S: Final = 0.05
+MIN_STALL_S: Final = 0.05
 
 
 class CheckResult(NamedTuple):
@@ -42,6 +48,17 @@
     ended_at: float
 
 
+class _CheckRound(NamedTuple):
+    """Answers of servers that were checked together.
+
+    `is_stalled` tells that the process did not run for some time, so that
+    servers without an answer may be reachable.
+    """
+
+    results: list[CheckResult]
+    is_stalled: bool
+
+
 class CheckCounts(NamedTuple):
     """Numbers of load checks since the start of the instance."""
 
@@ -79,43 +96,67 @@
     ) -> list[CheckResult]:
         """Check all servers; those that answer too late are left out.
 
-        `deadline` is on the loop's clock.
+        `deadline` is on the loop's clock. If no server has answered and the
+        process itself did not run for a part of the time, the check is
+        repeated once.
         """
+        checked = await self._check_once(servers, deadline)
+        if (
+            checked.is_stalled
+            and not checked.results
+            and asyncio.get_running_loop().time() < deadline
+        ):
+            checked = await self._check_once(servers, deadline)
+        return checked.results
+
+    async def _check_once(
+        self, servers: Sequence[BackendServer], deadline: float
+    ) -> _CheckRound:
         loop = asyncio.get_running_loop()
         check_deadline = min(deadline, loop.time() + CHECK_TIMEOUT_S)
-        tasks = [
-            asyncio.create_task(self._check(server, check_deadline))
+        tasks = {
+            asyncio.create_task(self._check(server, check_deadline)): server
             for server in servers
-        ]
+        }
         results: list[CheckResult] = []
         pending = set(tasks)
+        is_stalled = False
         try:
             while pending:
-                wait = (
-                    LATE_ANSWER_TIMEOUT_S
+                now = loop.time()
+                wake_at = (
+                    now + LATE_ANSWER_TIMEOUT_S
                     if results
-                    else check_deadline - loop.time()
+                    else min(check_deadline, now + STALL_POLL_S)
                 )
                 done, pending = await asyncio.wait(
                     pending,
-                    timeout=max(0.0, wait),
+                    timeout=max(0.0, wake_at - now),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if not done:
+                now = loop.time()
+                is_stalled = is_stalled or now - wake_at > MIN_STALL_S
+                for task, server in tasks.items():
+                    if task not in done:
+                        continue
+                    check = task.result()
+                    self._record(server, check, is_stalled)
+                    if check is not None:
+                        results.append(check)
+                if not done and (results or now >= check_deadline):
                     break
-                results += [
-                    check
-                    for task in tasks
-                    if task in done and (check := task.result()) is not None
-                ]
         except asyncio.CancelledError:
             self.put_back(results)
             raise
         finally:
             for task in pending:
                 self._late_checks.add(task)
-                task.add_done_callback(self._on_late_check)
-        return results
+                task.add_done_callback(
+                    functools.partial(
+                        self._on_late_check, tasks[task], is_stalled
+                    )
+                )
+        return _CheckRound(results, is_stalled)
 
     def put_back(self, checks: Sequence[CheckResult]) -> None:
         """Return the unused connections of checks to the pool."""
@@ -151,21 +192,35 @@
                 connection = opened.ok
                 result = await _check_connection(connection, check_deadline)
         if result.is_error() or connection is None:
-            self._history.record_unreachable(server.server_id)
-            self._counts = self._counts._replace(
-                failed=self._counts.failed + 1
-            )
             return None
-        self._counts = self._counts._replace(
-            answered=self._counts.answered + 1
-        )
-        self._history.record_reachable(server.server_id)
-        self._notices.observe(server=server, load=result.ok)
         return CheckResult(
             server, connection, result.ok, started_at, loop.time()
         )
 
-    def _on_late_check(self, task: asyncio.Task[CheckResult | None]) -> None:
+    def _record(
+        self,
+        server: BackendServer,
+        check: CheckResult | None,
+        is_stalled: bool,
+    ) -> None:
+        """Count an ended check, and record what it tells of the server."""
+        if check is not None:
+            self._counts = self._counts._replace(
+                answered=self._counts.answered + 1
+            )
+            self._history.record_reachable(server.server_id)
+            self._notices.observe(server=server, load=check.load)
+            return
+        self._counts = self._counts._replace(failed=self._counts.failed + 1)
+        if not is_stalled:
+            self._history.record_unreachable(server.server_id)
+
+    def _on_late_check(
+        self,
+        server: BackendServer,
+        is_stalled: bool,
+        task: asyncio.Task[CheckResult | None],
+    ) -> None:
         self._late_checks.discard(task)
         if task.cancelled():
             return
@@ -174,6 +229,7 @@
             self._events.emit(event=Event.CHECK_FAILED, detail=repr(error))
             return
         check = task.result()
+        self._record(server, check, is_stalled)
         if check is not None:
             self.put_back((check,))
 
--- a/tests/choice/test_choice.py
+++ b/tests/choice/test_choice.py
@@ -17,6 +17,7 @@
 from teaselrock.coordination.choice import ServerHistory
 from teaselrock.coordination.choice import SharedIdleLimit
 from teaselrock.coordination.choice.latency_estimates import queued_per_unit
+from teaselrock.coordination.choice.load_checks import CHECK_TIMEOUT_S
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.standins.clock import run_paused
@@ -148,6 +149,24 @@
     assert run_paused(main()) < 0.02
 
 
+def test_unresponsive_servers_are_checked_once() -> None:
+    """Guards against a late refusal if no server answers its check.
+
+    The check is repeated only if the process itself did not run.
+    """
+    world = World({backend_server('a'): load_report()})
+    world.check_delays_s['a'] = 60.0
+
+    async def main() -> float:
+        start = asyncio.get_running_loop().time()
+        result = await world.acquire()
+        assert result.error.code is RefusalCode.NO_BACKEND
+        assert world.checked_server_ids == ['a']
+        return asyncio.get_running_loop().time() - start
+
+    assert run_paused(main()) == pytest.approx(CHECK_TIMEOUT_S)
+
+
 def test_unused_connections_are_kept() -> None:
     """Guards against a new connection for each load check.
 
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -243,6 +243,9 @@
         self.received: list[CallerRequest] = []
         self.responses: list[Response | None] = []
         self.delay_s = 0.0
+        self.load_checks = 0
+        # Called before a load check is answered.
+        self.on_load_check: Callable[[], None] = lambda: None
         self.http = HttpStandin(self._handle)
 
     def entry(self, **changes: Any) -> dict[str, Any]:
@@ -260,6 +263,8 @@
 
     async def _handle(self, request: CallerRequest) -> Response | None:
         if request.target == '/health':
+            self.load_checks += 1
+            self.on_load_check()
             fields = {
                 headers.SERVER_ID: self.server_id,
                 headers.SERVER_LOAD: self.load,
