Count the responses that callers have not read

A process with 300 MB of memory used 820 to 846 MiB when 30 callers each left a complete response of 15 MiB unread, and could be ended for it.

Cause: complete responses were in no account, and each was held as received, encoded with its head, and as the transport's copy.

UnreadResponses counts them until their last part is written, up to an eighth of the process's memory. Beyond that, of the connections with large responses the one that has held some for the longest time is closed. Bodies are written in parts of 64 KiB with backpressure, and neither the connection nor the traceback of a failed write keeps a response that has ended.

--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -50,6 +50,7 @@
 from teaselrock.transport.response_memory import DEFAULT_LIMIT_BYTES
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.routed_front_end import RoutedFrontEnd
+from teaselrock.transport.unread_responses import UnreadResponses
 
 T = TypeVar('T')
 
@@ -116,8 +117,13 @@
             on_dropped=self._metrics.on_log_line_dropped,
             stream=sys.stdout,
         )
-        self._response_memory = ResponseMemory(
-            limit_bytes=_response_memory_limit(settings)
+        response_limit = _response_memory_limit(settings)
+        self._response_memory = ResponseMemory(limit_bytes=response_limit)
+        limit_observer = CallerLimitLog(
+            events=self._events, metrics=self._metrics
+        )
+        unread_responses = UnreadResponses(
+            limit_bytes=response_limit, observer=limit_observer
         )
         memory_bytes = settings.limits.memory_bytes or DEFAULT_MEMORY_BYTES
         request_memory = RequestMemory(memory_bytes=memory_bytes)
@@ -138,6 +144,7 @@
                 store_calls=lambda: self._store.calls,
                 store_era=lambda: self._store.era,
                 responses=self._response_memory,
+                unread_responses=unread_responses,
             ),
         )
         self._caller_listener = CallerListener(
@@ -149,9 +156,8 @@
                 observer=self._metrics,
             ),
             memory=request_memory,
-            observer=CallerLimitLog(
-                events=self._events, metrics=self._metrics
-            ),
+            unread_responses=unread_responses,
+            observer=limit_observer,
             max_connections=connection_limit(
                 descriptors=settings.limits.max_descriptors,
                 memory_bytes=memory_bytes,
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -33,12 +33,16 @@
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.request_parser import RequestParser
+from teaselrock.transport.unread_responses import UnreadResponses
 
 READ_BYTES: Final = 65536
 # Requests of one connection that are served concurrently.
 MAX_PIPELINED_REQUESTS: Final = 16
 # A caller that does not read its response within this time is disconnected.
 WRITE_TIMEOUT_S: Final = 10.0
+# A larger body is written in parts of this size, each after the caller has
+# read most of those before, so that the transport holds no copy of the body.
+WRITE_BYTES: Final = 64 * 1024
 # Time for which input is still read after the response to an invalid request,
 # and the least number of bytes after which that ends too.
 LINGER_S: Final = 1.0
@@ -113,6 +117,7 @@
         memory: RequestMemory,
         observer: CallerLimitObserver,
         table: 'ConnectionTable[CallerConnection]',
+        unread_responses: UnreadResponses,
         is_closing: Callable[[], bool],
     ) -> None:
         self._reader = reader
@@ -121,6 +126,7 @@
         self._observer = observer
         self._table = table
         self._is_closing = is_closing
+        self._unread = unread_responses.open(abort=writer.transport.abort)
         self._parser = RequestParser(limits=handler.limits, memory=memory)
         self._pending: deque[_PendingRequest] = deque()
         # Set when a request or an error is pending.
@@ -187,6 +193,8 @@
                 *(pending.response for pending in self._pending),
                 return_exceptions=True,
             )
+            self._pending.clear()
+            self._unread.close()
             self._reader.close()
             self._writer.close()
 
@@ -314,7 +322,7 @@
         return not self._writer.is_closing()
 
     def _start(self, request: CallerRequest) -> None:
-        task = asyncio.create_task(self._handler.serve(request))
+        task = asyncio.create_task(self._serve(request))
         hold = request.hold
         task.add_done_callback(lambda _: hold.release())
         self._table.begin_service(self)
@@ -323,51 +331,74 @@
         )
         self._response_expected.set()
 
+    async def _serve(self, request: CallerRequest) -> CallerResponse:
+        response = await self._handler.serve(request)
+        self._unread.add(len(response.body))
+        return response
+
     async def _write_responses(self) -> None:
         """Write responses in the order of their requests."""
-        while True:
+        may_continue = True
+        while may_continue:
             while not self._pending:
                 if self._error is not None:
-                    await self._write(
-                        self._handler.error_response(self._error),
-                        is_head=False,
-                        closes=True,
-                    )
+                    response = self._handler.error_response(self._error)
+                    self._unread.add(len(response.body))
+                    await self._write(response, is_head=False, closes=True)
                     return
                 self._response_expected.clear()
                 await self._response_expected.wait()
-            pending = self._pending[0]
-            response = await pending.response
-            closes = not pending.keep_alive or (
-                self._is_closing() and len(self._pending) == 1
-            )
-            try:
-                await self._write(
-                    response, is_head=pending.is_head, closes=closes
-                )
-            finally:
-                self._response_written.set()
-            self._pending.popleft()
-            if not self._pending:
-                self._table.end_service(self)
-            if closes:
-                self._writer.close()
-                return
+            may_continue = await self._write_next_response()
+        self._writer.close()
+
+    async def _write_next_response(self) -> bool:
+        """Write the first pending response; False if it was the last one.
+
+        A method of its own, since no variable may keep the response while
+        the connection is idle.
+        """
+        pending = self._pending[0]
+        response = await pending.response
+        closes = not pending.keep_alive or (
+            self._is_closing() and len(self._pending) == 1
+        )
+        try:
+            await self._write(response, is_head=pending.is_head, closes=closes)
+        finally:
+            self._response_written.set()
+        self._pending.popleft()
+        if not self._pending:
+            self._table.end_service(self)
+        return not closes
 
     async def _write(
         self, response: CallerResponse, *, is_head: bool, closes: bool
     ) -> None:
-        self._writer.write(encode(response, is_head=is_head, closes=closes))
+        data = encode_head(response, is_head=is_head, closes=closes)
+        body = memoryview(b'' if is_head else response.body)
+        # The head goes with the first part, which saves a packet.
+        data += body[:WRITE_BYTES]
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_S):
+                self._writer.write(data)
                 await self._writer.drain()
-        except (OSError, TimeoutError):
+                for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
+                    self._writer.write(body[start : start + WRITE_BYTES])
+                    await self._writer.drain()
+        except (OSError, TimeoutError) as error:
             self._writer.transport.abort()
+            # A future in `drain` and the traceback refer to each other, and
+            # would keep the response until the next collection.
+            error.__traceback__ = None
             raise
+        # The body is held until its last part is written.
+        self._unread.remove(len(response.body))
 
 
-def encode(response: CallerResponse, *, is_head: bool, closes: bool) -> bytes:
-    """Encode a response as HTTP/1.1."""
+def encode_head(
+    response: CallerResponse, *, is_head: bool, closes: bool
+) -> bytes:
+    """Encode the head of a response as HTTP/1.1."""
     try:
         phrase = http.HTTPStatus(response.status).phrase
     except ValueError:
@@ -379,8 +410,7 @@
     if closes:
         lines.append('Connection: close')
     head = '\r\n'.join(lines) + '\r\n\r\n'
-    body = b'' if is_head else response.body
-    return head.encode('utf-8', 'surrogateescape') + body
+    return head.encode('utf-8', 'surrogateescape')
 
 
 class CallerListener:
@@ -391,11 +421,15 @@
         *,
         handler: RequestHandler,
         memory: RequestMemory | None = None,
+        unread_responses: UnreadResponses | None = None,
         observer: CallerLimitObserver = NoCallerLimitObserver(),
         max_connections: int = DEFAULT_LIMIT,
     ) -> None:
         self._handler = handler
         self._memory = memory or RequestMemory()
+        self._unread_responses = unread_responses or UnreadResponses(
+            observer=observer
+        )
         self._observer = observer
         # All connections receive into this buffer, one after the other.
         self._receive_buffer = bytearray(RECEIVE_BYTES)
@@ -492,6 +526,7 @@
             memory=self._memory,
             observer=self._observer,
             table=self._connections,
+            unread_responses=self._unread_responses,
             is_closing=lambda: self._is_closing,
         )
         self._connections.add(connection)
--- a/src/teaselrock/transport/caller_limits.py
+++ b/src/teaselrock/transport/caller_limits.py
@@ -20,6 +20,7 @@
     BODY_TIME = 'body-time'
     CHUNK_FRAMING = 'chunk-framing'
     CONNECTIONS = 'connections'
+    UNREAD_RESPONSES = 'unread-responses'
 
 
 class CallerLimitObserver(Protocol):
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -20,6 +20,7 @@
 from teaselrock.state.configuration import empty_document
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.response_memory import ResponseMemory
+from teaselrock.transport.unread_responses import UnreadResponses
 
 ROOT = pathlib.Path(__file__).parents[2]
 EXAMPLES = ROOT / 'examples'
@@ -92,6 +93,7 @@
             store_calls=dict,
             store_era=lambda: 0,
             responses=ResponseMemory(),
+            unread_responses=UnreadResponses(),
         )
     )
     listed = re.findall(r'^\| `(teaselrock_\w+)` \| (\w+) \|', page, re.M)
