Count unread responses on the product's interface

A process with 200 MB of memory used 822 MB when 24 callers each left a complete response of 15 MiB unread. A caller had no time limit for reading.

Cause: as on the platform's interface, complete responses were in no account, and aiohttp passes a body to the transport at once, which copies what it cannot send. It also refers to a response until the connection's next request.

The connections use the same account of an eighth of memory_mb and the same time limit, aiohttp writes large bodies in parts, and a sent response drops its body. The gauge moves to the metrics of both interfaces.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -56,6 +56,7 @@
 from teaselrock.transport.store import HttpPlatformList
 from teaselrock.transport.store import HttpStore
 from teaselrock.transport.store import StoreHttpClient
+from teaselrock.transport.unread_responses import UnreadResponses
 from teaselrock.transport.zmq_peer_link import ZmqPeerLink
 
 EXIT_OK: Final = 0
@@ -150,6 +151,9 @@
         self._caller_limit_log = CallerLimitLog(
             events=self._events, metrics=self._metrics
         )
+        self._unread_responses = UnreadResponses(
+            memory_bytes=options.memory_bytes, observer=self._caller_limit_log
+        )
         self._transports = self._make_transports()
         # The start time, so that each restart has a higher incarnation.
         self._incarnation = time.time_ns() // 1_000_000
@@ -162,6 +166,7 @@
             view=self._instance.directory,
             in_flight=lambda: self._instance.dispatcher.in_flight,
             request_memory=self._request_memory,
+            unread_responses=self._unread_responses,
             collector=InstanceStatsCollector(
                 read_stats=lambda: instance_stats.collect_stats(self._instance)
             ),
@@ -221,6 +226,7 @@
         self._caller_server = CallerServer(
             self._front_end.handle,
             memory=self._request_memory,
+            unread_responses=self._unread_responses,
             observer=self._caller_limit_log,
             max_connections=connection_limit(
                 descriptors=_descriptor_limit(),
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -21,6 +21,7 @@
 from teaselrock.state.configuration import Document
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.request_memory import RequestMemory
+from teaselrock.transport.unread_responses import UnreadResponses
 
 # Customers beyond these count as `OTHER_CUSTOMER`.
 MAX_CUSTOMER_LABELS: Final = 200
@@ -126,6 +127,7 @@
         view: MeasuredView,
         in_flight: Callable[[], int],
         request_memory: RequestMemory,
+        unread_responses: UnreadResponses,
         collector: Collector,
     ) -> None:
         """Add the gauges and the collector of an instance.
@@ -159,6 +161,11 @@
                 'Limit of teaselrock_request_bytes.',
                 lambda: request_memory.limit_bytes,
             ),
+            (
+                'teaselrock_unread_response_bytes',
+                'Bytes of complete responses that callers have not read.',
+                lambda: unread_responses.total_bytes,
+            ),
         )
         for name, description, value in gauges:
             Gauge(name, description, registry=self._registry).set_function(
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -117,16 +117,17 @@
             on_dropped=self._metrics.on_log_line_dropped,
             stream=sys.stdout,
         )
-        response_limit = _response_memory_limit(settings)
-        self._response_memory = ResponseMemory(limit_bytes=response_limit)
+        self._response_memory = ResponseMemory(
+            limit_bytes=_response_memory_limit(settings)
+        )
         limit_observer = CallerLimitLog(
             events=self._events, metrics=self._metrics
         )
-        unread_responses = UnreadResponses(
-            limit_bytes=response_limit, observer=limit_observer
-        )
         memory_bytes = settings.limits.memory_bytes or DEFAULT_MEMORY_BYTES
         request_memory = RequestMemory(memory_bytes=memory_bytes)
+        unread_responses = UnreadResponses(
+            memory_bytes=memory_bytes, observer=limit_observer
+        )
         self._store = StoreClient(
             address=(
                 f'{settings.store_address.host}:{settings.store_address.port}'
@@ -139,12 +140,12 @@
             view=_RoutedMetricsView(view=view, is_ready=lambda: self.is_ready),
             in_flight=lambda: self._instance.dispatcher.in_flight,
             request_memory=request_memory,
+            unread_responses=unread_responses,
             collector=RoutedCollector(
                 read_stats=lambda: self._instance.stats,
                 store_calls=lambda: self._store.calls,
                 store_era=lambda: self._store.era,
                 responses=self._response_memory,
-                unread_responses=unread_responses,
             ),
         )
         self._caller_listener = CallerListener(
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -15,7 +15,6 @@
 
 from teaselrock.coordination.routed_instance import RoutedStats
 from teaselrock.transport.response_memory import ResponseMemory
-from teaselrock.transport.unread_responses import UnreadResponses
 
 
 class RoutedCollector(Collector):
@@ -32,13 +31,11 @@
         store_calls: Callable[[], Mapping[str, int]],
         store_era: Callable[[], int],
         responses: ResponseMemory,
-        unread_responses: UnreadResponses,
     ) -> None:
         self._read_stats = read_stats
         self._store_calls = store_calls
         self._store_era = store_era
         self._responses = responses
-        self._unread_responses = unread_responses
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics of the instance."""
@@ -63,11 +60,6 @@
             'Bytes of the responses that are being received from servers.',
             self._responses.total_bytes,
         )
-        yield GaugeMetricFamily(
-            'teaselrock_unread_response_bytes',
-            'Bytes of complete responses that callers have not read.',
-            self._unread_responses.total_bytes,
-        )
         yield CounterMetricFamily(
             'teaselrock_dropped_responses',
             'Responses that were dropped because they exceed the memory.',
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -11,6 +11,7 @@
 from typing import Any
 from typing import Final
 
+from aiohttp import Payload
 from aiohttp import StreamReader
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -26,12 +27,15 @@
 from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
+from teaselrock.transport.caller_limits import WRITE_TIMEOUT_S
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
 from teaselrock.transport.connection_table import DEFAULT_LIMIT
 from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_memory import RequestMemory
+from teaselrock.transport.unread_responses import UnreadBytes
+from teaselrock.transport.unread_responses import UnreadResponses
 
 # Time for which input is read after a refused body. Closing a socket with
 # unread input resets the connection, and the caller could lose the refusal.
@@ -87,6 +91,8 @@
         '_is_reading_ahead',
         '_observer',
         '_opened_at',
+        '_unread',
+        '_unread_responses',
     )
 
     def __init__(
@@ -94,12 +100,15 @@
         *arguments: Any,
         buffer: bytearray,
         held: HeldRequest,
+        unread_responses: UnreadResponses,
         observer: CallerLimitObserver,
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
         self._buffer = buffer
         self._held = held
+        self._unread_responses = unread_responses
+        self._unread: UnreadBytes | None = None
         self._observer = observer
         self._is_reading_ahead = False
         # Body of the current request, and the bytes that came for it.
@@ -134,11 +143,45 @@
         self._held.end_fine_chunks()
         self._held.resize(0)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the transport at the beginning."""
+        super().connection_made(transport)
+        if isinstance(transport, asyncio.WriteTransport):
+            self._unread = self._unread_responses.open(abort=transport.abort)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Called by the transport at the end."""
         self._held.release()
+        if self._unread is not None:
+            self._unread.close()
         super().connection_lost(exc)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response within the limits on unread ones.
+
+        Called by aiohttp; the result tells whether the caller disconnected.
+        """
+        size = _body_size(resp)
+        if self._unread is not None:
+            self._unread.add(size)
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                return await super().finish_response(request, resp, start_time)
+        except TimeoutError:
+            self.abort()
+            return resp, True
+        finally:
+            if self._unread is not None:
+                self._unread.remove(size)
+            if isinstance(resp, web.Response):
+                # aiohttp refers to the response until the next request.
+                resp.body = None
+
     def get_buffer(self, sizehint: int) -> Any:
         """Return the buffer to receive into, or a part of it."""
         if self._framing_bytes > RECEIVE_BYTES:
@@ -213,6 +256,14 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def _body_size(response: web.StreamResponse) -> int:
+    """Size of a response's body in bytes."""
+    body = response.body if isinstance(response, web.Response) else None
+    if isinstance(body, Payload):
+        return body.size or 0
+    return len(body or b'')
+
+
 class CallerServer(web.Server):
     """aiohttp server that leaves compressed bodies as they are.
 
@@ -226,6 +277,7 @@
         handler: Handler,
         *,
         memory: RequestMemory | None = None,
+        unread_responses: UnreadResponses | None = None,
         observer: CallerLimitObserver = NoCallerLimitObserver(),
         max_connections: int = DEFAULT_LIMIT,
     ) -> None:
@@ -235,6 +287,9 @@
         )
         self._handler = handler
         self._memory = memory or RequestMemory()
+        self._unread_responses = unread_responses or UnreadResponses(
+            observer=observer
+        )
         self._observer = observer
         # All connections receive into this buffer, one after the other.
         self._receive_buffer = bytearray(RECEIVE_BYTES)
@@ -306,5 +361,6 @@
             read_bufsize=READ_AHEAD_BYTES,
             buffer=self._receive_buffer,
             held=self._memory.open(),
+            unread_responses=self._unread_responses,
             observer=self._observer,
         )
--- a/src/teaselrock/transport/front_end.py
+++ b/src/teaselrock/transport/front_end.py
@@ -10,6 +10,7 @@
 import asyncio
 import hashlib
 import hmac
+import io
 import re
 from typing import Final
 
@@ -38,6 +39,7 @@
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_server import count_read_ahead
 from teaselrock.transport.caller_server import refusal_response
 from teaselrock.transport.lookup import LookupTables
@@ -276,8 +278,11 @@
 def _success_response(
     method: str, backend_response: BackendResponse
 ) -> web.Response:
+    body = backend_response.body
     response = web.Response(
-        status=backend_response.status, body=backend_response.body or None
+        status=backend_response.status,
+        # aiohttp writes a file in parts, but bytes at once.
+        body=io.BytesIO(body) if len(body) > WRITE_BYTES else body or None,
     )
     for name, value in backend_response.headers:
         lower = name.lower()
--- a/src/teaselrock/transport/unread_responses.py
+++ b/src/teaselrock/transport/unread_responses.py
@@ -11,9 +11,10 @@
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
+from teaselrock.transport.request_memory import DEFAULT_MEMORY_BYTES
 
-# Limit of a process whose settings name no memory.
-DEFAULT_LIMIT_BYTES: Final = 64 * 1024 * 1024
+# Part of the process's memory for complete responses.
+MEMORY_SHARE: Final = 1 / 8
 # A connection gives way only if it holds at least this share of what the
 # largest one holds, so that callers with small responses keep them.
 LARGE_SHARE: Final = 1 / 2
@@ -61,19 +62,20 @@
 
 
 class UnreadResponses:
-    """Limit of the bytes of all complete responses, in bytes.
+    """Limit of the bytes of all complete responses.
 
-    When it is exceeded, connections are aborted until it is met: of those
-    that hold much, the one that has held something for the longest time.
+    It follows from `memory_bytes`, the memory of the whole process. When it
+    is exceeded, connections are aborted until it is met: of those that hold
+    much, the one that has held something for the longest time.
     """
 
     def __init__(
         self,
         *,
-        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
         observer: CallerLimitObserver = NoCallerLimitObserver(),
     ) -> None:
-        self._limit_bytes = limit_bytes
+        self._limit_bytes = int(memory_bytes * MEMORY_SHARE)
         self._observer = observer
         self._total_bytes = 0
         # Connections with unread bytes, in the order in which they began to
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -20,6 +20,7 @@
 from teaselrock.daemon.slot_metrics import InstanceStatsCollector
 from teaselrock.state.configuration import empty_document
 from teaselrock.transport.request_memory import RequestMemory
+from teaselrock.transport.unread_responses import UnreadResponses
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -148,6 +149,7 @@
         view=directory,
         in_flight=lambda: 3,
         request_memory=RequestMemory(),
+        unread_responses=UnreadResponses(),
         collector=InstanceStatsCollector(read_stats=InstanceStats),
     )
     for name in (*document['customers'], 'unknown', ''):
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -66,6 +66,7 @@
         view=FixedDirectory(document=empty_document(), servers=()),
         in_flight=lambda: 0,
         request_memory=RequestMemory(),
+        unread_responses=UnreadResponses(),
         collector=collector,
     )
     types = re.findall(
@@ -93,7 +94,6 @@
             store_calls=dict,
             store_era=lambda: 0,
             responses=ResponseMemory(),
-            unread_responses=UnreadResponses(),
         )
     )
     listed = re.findall(r'^\| `(teaselrock_\w+)` \| (\w+) \|', page, re.M)
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -26,6 +26,10 @@
 SERVERS = 4
 LOAD = 'start=s, state=warm, in-flight=0, bears=64'
 START_TIMEOUT_S = 30
+# A server responds to this path with a body below the limit, 16 MiB.
+LARGE_PATH = '/desk/large'
+LARGE_BODY = b'l' * (15 * 1024 * 1024)
+SLOW_CALLERS = 24
 REQUEST_FIELDS = 'Host: h\r\nAuthorization: Bearer secret\r\n'
 
 
@@ -159,7 +163,10 @@
         number = http.headers.get(fields.EXCHANGE_NUMBER)
         if number is not None:
             response_fields[fields.EXCHANGE_NUMBER] = number
-        return web.Response(text='done', headers=response_fields)
+        return web.Response(
+            body=LARGE_BODY if http.path == LARGE_PATH else b'done',
+            headers=response_fields,
+        )
 
     async def wait_ended(self) -> int:
         """Wait until the process ends; returns its exit status."""
@@ -275,6 +282,31 @@
     play(lambda gateway: crowd.play_stop(gateway, gateway.wait_ended()))
 
 
+def test_unread_responses(play: Play) -> None:
+    """Guards against a process that ends, since callers read slowly.
+
+    One caller after the other requests a large response and reads only its
+    first byte, so that all responses are complete and unread.
+    """
+
+    async def scenario(gateway: CustomerGateway) -> None:
+        writers: list[asyncio.StreamWriter] = []
+        for _ in range(SLOW_CALLERS):
+            reader, writer = await gateway.connect()
+            writers.append(writer)
+            writer.write(
+                f'GET {LARGE_PATH} HTTP/1.1\r\n{REQUEST_FIELDS}\r\n'.encode()
+            )
+            await reader.readexactly(1)
+        assert gateway.is_running
+        assert await crowd.is_served(gateway)
+        assert crowd.peak_bytes(gateway.pid) < crowd.MEMORY_MB * 1_000_000
+        for writer in writers:
+            writer.close()
+
+    play(scenario)
+
+
 @pytest.mark.parametrize('framing', ['length', 'chunks'])
 def test_single_largest_body_is_served(
     tmp_path: pathlib.Path, gateway_settings: GatewaySettings, framing: str
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -3,10 +3,14 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import io
 import socket
+import tracemalloc
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from memory_trace import traced_without_collector
 import pytest
 
 from teaselrock.transport.accept_queue import BACKLOG
@@ -20,6 +24,8 @@
 CHUNK = b'6\r\nxxxxxx\r\n'
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 QUEUED_CONNECTIONS = 5
+# More than the buffers of a loopback connection take.
+LARGE_BODY_BYTES = 15_000_000
 # Ends the test where a connection is neither served nor closed.
 TIMEOUT_S = 20.0
 
@@ -188,3 +194,55 @@
     large = [size for size in sizes if size > SMALL_CHUNKS_READ_BYTES]
     # The framing exceeds this after one segment more.
     assert sum(large) < 3 * RECEIVE_BYTES
+
+
+def test_large_response_is_released_once_it_is_read() -> None:
+    """Guards against a response that stays while its connection is idle."""
+
+    async def respond(http: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=bytes(LARGE_BODY_BYTES))
+
+    async def scenario(address: tuple[str, int], stop: Stop) -> None:
+        with traced_without_collector():
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST)
+            await reader.readuntil(b'\r\n\r\n')
+            remaining = LARGE_BODY_BYTES
+            while remaining > 0:
+                remaining -= len(await reader.read(remaining))
+            await asyncio.sleep(0.1)
+            assert tracemalloc.get_traced_memory()[0] < LARGE_BODY_BYTES / 2
+        assert not reader.at_eof()
+        writer.close()
+        await stop()
+
+    _run(scenario, respond=respond)
+
+
+def test_connection_ends_if_its_response_is_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against unread responses that stay as long as the caller."""
+    monkeypatch.setattr(
+        'teaselrock.transport.caller_server.WRITE_TIMEOUT_S', 0.2
+    )
+
+    async def respond(http: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=io.BytesIO(bytes(LARGE_BODY_BYTES)))
+
+    async def scenario(address: tuple[str, int], stop: Stop) -> None:
+        with socket.create_connection(address) as caller:
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, REQUEST)
+            assert await loop.sock_recv(caller, 1) == b'H'
+            # Past the time limit; reading before would make room.
+            await asyncio.sleep(1.0)
+            received = 1
+            with contextlib.suppress(ConnectionResetError):
+                while data := await loop.sock_recv(caller, 1_000_000):
+                    received += len(data)
+            assert received < LARGE_BODY_BYTES
+        await stop()
+
+    _run(scenario, respond=respond)
--- a/tests/transport/test_unread_responses.py
+++ b/tests/transport/test_unread_responses.py
@@ -16,6 +16,7 @@
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
+from teaselrock.transport.unread_responses import MEMORY_SHARE
 from teaselrock.transport.unread_responses import UnreadBytes
 from teaselrock.transport.unread_responses import UnreadResponses
 
@@ -39,6 +40,15 @@
         self.limits.append(limit)
 
 
+def _account(
+    limit_bytes: int, observer: Observer | None = None
+) -> UnreadResponses:
+    return UnreadResponses(
+        memory_bytes=int(limit_bytes / MEMORY_SHARE),
+        observer=observer or Observer(),
+    )
+
+
 @given(
     steps=st.lists(
         st.tuples(st.integers(0, 4), st.integers(0, 60)), max_size=60
@@ -46,7 +56,7 @@
 )
 def test_total_stays_within_the_limit(steps: list[tuple[int, int]]) -> None:
     """Guards against an account that drifts from what is held."""
-    account = UnreadResponses(limit_bytes=100, observer=Observer())
+    account = _account(100)
     aborted: list[int] = []
     holders: list[UnreadBytes] = []
     for index in range(5):
@@ -70,7 +80,7 @@
 
 def test_longest_waiting_of_the_large_ones_gives_way() -> None:
     """Guards against a caller that is disconnected for others' responses."""
-    account = UnreadResponses(limit_bytes=100)
+    account = _account(100)
     aborted: list[str] = []
     holders = {
         name: account.open(abort=lambda name=name: aborted.append(name))
@@ -107,9 +117,7 @@
 
     def __init__(self) -> None:
         self.observer = Observer()
-        self.account = UnreadResponses(
-            limit_bytes=LIMIT_BYTES, observer=self.observer
-        )
+        self.account = _account(LIMIT_BYTES, self.observer)
         self.listener = CallerListener(
             handler=Handler(),
             unread_responses=self.account,
