--- a/src/teaselrock/protocol/schemas.py
+++ b/src/teaselrock/protocol/schemas.py
@@ -277,7 +277,8 @@
             },
             'memory_mb': _integer(
                 'Memory that the process may use, in 1,000,000 bytes. Two '
-                "fifths of it are for callers' requests. Default: 200.",
+                "fifths of it are for callers' requests, an eighth for "
+                'responses that they have not read. Default: 200.',
                 MIN_MEMORY_MB,
                 1_000_000,
             ),
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -24,7 +24,6 @@
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
 from teaselrock.transport.caller_limits import WRITE_BYTES
-from teaselrock.transport.caller_limits import WRITE_TIMEOUT_S
 from teaselrock.transport.caller_reader import CallerProtocol
 from teaselrock.transport.caller_reader import CallerReader
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
@@ -40,6 +39,8 @@
 READ_BYTES: Final = 65536
 # Requests of one connection that are served concurrently.
 MAX_PIPELINED_REQUESTS: Final = 16
+# A caller that does not read its response within this time is disconnected.
+WRITE_TIMEOUT_S: Final = 10.0
 # Time for which input is still read after the response to an invalid request,
 # and the least number of bytes after which that ends too.
 LINGER_S: Final = 1.0
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -27,7 +27,6 @@
 from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
-from teaselrock.transport.caller_limits import WRITE_TIMEOUT_S
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
@@ -162,7 +161,7 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Send a response within the limits on unread ones.
+        """Send a response, which counts as unread until its last part.
 
         Called by aiohttp; the result tells whether the caller disconnected.
         """
@@ -170,11 +169,7 @@
         if self._unread is not None:
             self._unread.add(size)
         try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                return await super().finish_response(request, resp, start_time)
-        except TimeoutError:
-            self.abort()
-            return resp, True
+            return await super().finish_response(request, resp, start_time)
         finally:
             if self._unread is not None:
                 self._unread.remove(size)
