--- a/tests/transport/test_unread_responses.py
+++ b/tests/transport/test_unread_responses.py
@@ -13,6 +13,7 @@
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -215,6 +216,27 @@
     asyncio.run(main())
 
 
+def test_responses_to_requests_sent_ahead_count() -> None:
+    """Guards against unread responses that wait behind the first one."""
+
+    async def main() -> None:
+        connections = Connections()
+        await connections.start()
+        assert connections.listener.address is not None
+        reader, writer = await asyncio.open_connection(
+            *connections.listener.address
+        )
+        writer.write(REQUEST * MAX_PIPELINED_REQUESTS)
+        await connections.wait_for_connections(1)
+        await connections.wait_for_connections(0)
+        assert connections.observer.limits == [CallerLimit.UNREAD_RESPONSES]
+        assert connections.account.total_bytes == 0
+        writer.close()
+        await connections.stop()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize('is_reset', [True, False])
 def test_response_is_released_when_its_caller_disconnects(
     is_reset: bool,
