Hold the body of a server's response once

The parser copied a complete body, and on the product's interface aiohttp copied large ones again, so that a response of 15 MiB took twice its size while it was accounted for once.

The parser's own buffer is the body of the response now, and LargeBody writes parts of it without a copy.

--- a/src/teaselrock/platform/store_client.py
+++ b/src/teaselrock/platform/store_client.py
@@ -185,7 +185,7 @@
                 )
             )
         try:
-            return Ok(StoreReply(decode(response.body), _era(response)))
+            return Ok(StoreReply(decode(bytes(response.body)), _era(response)))
         except (*DECODE_ERRORS, SplitError) as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
--- a/src/teaselrock/standins/backend.py
+++ b/src/teaselrock/standins/backend.py
@@ -80,7 +80,7 @@
 
 
 async def _send_half_body(
-    http: web.BaseRequest, headers: dict[str, str], body: bytes
+    http: web.BaseRequest, headers: dict[str, str], body: bytes | bytearray
 ) -> web.StreamResponse:
     """Send the first half of a body, then close the connection."""
     response = web.StreamResponse(headers=headers)
--- a/src/teaselrock/state/request.py
+++ b/src/teaselrock/state/request.py
@@ -90,7 +90,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     load: LoadReport | None = None
 
 
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -55,7 +55,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes = b''
+    body: bytes | bytearray = b''
 
 
 class RequestHandler(Protocol):
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -14,6 +14,7 @@
 from aiohttp import Payload
 from aiohttp import StreamReader
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.web_protocol import RequestHandler
 
 from teaselrock.protocol import problem
@@ -27,6 +28,7 @@
 from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
+from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
@@ -62,6 +64,30 @@
     )
 
 
+class LargeBody(Payload):
+    """Body of a response that is written in parts.
+
+    aiohttp writes bytes at once, and copies them if they come from a file.
+    """
+
+    _value: bytes | bytearray
+
+    def __init__(self, value: bytes | bytearray) -> None:
+        super().__init__(value)
+        self._size = len(value)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        """Write all parts, each after most of those before were read."""
+        view = memoryview(self._value)
+        for start in range(0, len(view), WRITE_BYTES):
+            await writer.write(view[start : start + WRITE_BYTES])
+            await writer.drain()
+
+    def decode(self, encoding: str = 'utf-8', errors: str = 'strict') -> str:
+        """Return the body as text."""
+        return self._value.decode(encoding, errors)
+
+
 def count_read_ahead(http_request: web.BaseRequest) -> None:
     """Account for what a caller sends until the response to its request.
 
--- a/src/teaselrock/transport/front_end.py
+++ b/src/teaselrock/transport/front_end.py
@@ -10,7 +10,6 @@
 import asyncio
 import hashlib
 import hmac
-import io
 import re
 from typing import Final
 
@@ -41,6 +40,7 @@
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_server import count_read_ahead
+from teaselrock.transport.caller_server import LargeBody
 from teaselrock.transport.caller_server import refusal_response
 from teaselrock.transport.lookup import LookupTables
 from teaselrock.transport.request_memory import FIELD_BYTES
@@ -281,8 +281,7 @@
     body = backend_response.body
     response = web.Response(
         status=backend_response.status,
-        # aiohttp writes a file in parts, but bytes at once.
-        body=io.BytesIO(body) if len(body) > WRITE_BYTES else body or None,
+        body=LargeBody(body) if len(body) > WRITE_BYTES else body or None,
     )
     for name, value in backend_response.headers:
         lower = name.lower()
--- a/src/teaselrock/transport/response_parser.py
+++ b/src/teaselrock/transport/response_parser.py
@@ -91,9 +91,9 @@
         return self._headers
 
     @property
-    def body(self) -> bytes:
-        """Body without its transfer coding."""
-        return bytes(self._body)
+    def body(self) -> bytearray:
+        """Body without its transfer coding, no copy of it."""
+        return self._body
 
     @property
     def is_complete(self) -> bool:
