Bound responses under way by memory_mb on the product's interface

Responses under way could take 64 MiB there, whatever the settings say. With unfinished bodies beside them a process with 200 MB used 181 to 238 MB.

The limit is an eighth of memory_mb, as on the platform.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -53,6 +53,8 @@
 from teaselrock.transport.operators_endpoint import OperatorsEndpoint
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.request_memory import RequestMemory
+from teaselrock.transport.response_memory import MEMORY_SHARE
+from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.store import HttpPlatformList
 from teaselrock.transport.store import HttpStore
 from teaselrock.transport.store import StoreHttpClient
@@ -324,7 +326,11 @@
                 if store_client
                 else NoPlatformList()
             ),
-            connector=HttpConnector(),
+            connector=HttpConnector(
+                memory=ResponseMemory(
+                    limit_bytes=int(self._options.memory_bytes * MEMORY_SHARE)
+                )
+            ),
             codec=JsonDocumentCodec(),
             events=self._events,
             observer=self._metrics,
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -48,16 +48,13 @@
 from teaselrock.transport.request_memory import DEFAULT_MEMORY_BYTES
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.response_memory import DEFAULT_LIMIT_BYTES
+from teaselrock.transport.response_memory import MEMORY_SHARE
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.routed_front_end import RoutedFrontEnd
 from teaselrock.transport.unread_responses import UnreadResponses
 
 T = TypeVar('T')
 
-# Part of the machine's memory for responses under way. Half of the memory is
-# the product's; a response is copied up to twice on its way to the caller.
-RESPONSE_MEMORY_SHARE: Final = 1 / 8
-
 EXIT_OK: Final = 0
 EXIT_NOT_STARTED: Final = 1
 # After SIGTERM the platform still sends new connections until two readiness
@@ -342,7 +339,7 @@
     memory_bytes = settings.limits.memory_bytes
     if memory_bytes is None:
         return DEFAULT_LIMIT_BYTES
-    return int(memory_bytes * RESPONSE_MEMORY_SHARE)
+    return int(memory_bytes * MEMORY_SHARE)
 
 
 def _modified_at_ns(path: pathlib.Path) -> int:
--- a/src/teaselrock/transport/response_memory.py
+++ b/src/teaselrock/transport/response_memory.py
@@ -8,6 +8,9 @@
 from collections.abc import Callable
 from typing import Final
 
+# Part of the process's memory for responses under way. The rest is for the
+# program, for requests and for complete responses.
+MEMORY_SHARE: Final = 1 / 8
 # Limit of a process whose settings name no memory.
 DEFAULT_LIMIT_BYTES: Final = 64 * 1024 * 1024
 
