Return large blocks to the system when they are freed

With unfinished bodies and large responses at once, a process with 200 MB used up to 238 MB on the product's interface and up to 207 MB on the platform's, although its accounts were within their limits.

Cause: glibc raises the size from which it maps blocks on their own to that of freed ones, up to 32 MiB, and keeps later blocks below it in the heap.

--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -27,6 +27,7 @@
 from teaselrock.coordination.instance import InstancePorts
 from teaselrock.coordination.instance import RunnableInstance
 from teaselrock.coordination.standalone import StandaloneInstance
+from teaselrock.daemon import allocator
 from teaselrock.daemon import event_loop
 from teaselrock.daemon import instance_stats
 from teaselrock.daemon import options as options_module
@@ -418,4 +419,5 @@
         for diagnostic in loaded.error:
             sys.stderr.write(f'{path}:{diagnostic}\n')
         return EXIT_NOT_STARTED
+    allocator.return_large_blocks()
     return event_loop.run(_run(loaded.ok))
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -25,6 +25,7 @@
 from teaselrock.coordination.routed_instance import RoutedInstance
 from teaselrock.coordination.routed_instance import RoutedOptions
 from teaselrock.coordination.routed_instance import RoutedPorts
+from teaselrock.daemon import allocator
 from teaselrock.daemon import event_loop
 from teaselrock.daemon.caller_limit_log import CallerLimitLog
 from teaselrock.daemon.logs import EventLog
@@ -376,6 +377,7 @@
             f'{path}: missing or invalid: {error.field} {error.reason}\n'
         )
         return EXIT_NOT_STARTED
+    allocator.return_large_blocks()
     return event_loop.run(_run(loaded.ok, path))
 
 
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -297,6 +297,31 @@
     assert peak_bytes(target.pid) < MEMORY_MB * 1_000_000
 
 
+async def play_large_responses(
+    target: Target, request: str, *, reads_all: bool
+) -> None:
+    """Request large responses beside a crowd of unfinished bodies.
+
+    Callers read them, or disconnect after their first bytes.
+    """
+
+    async def call() -> None:
+        reader, writer = await target.connect()
+        writer.write(request.encode())
+        # The response may be refused or cut; only the memory is judged.
+        if reads_all:
+            await _discard(reader)
+        else:
+            with contextlib.suppress(OSError):
+                await reader.read(BLOCK)
+        writer.close()
+
+    await asyncio.gather(
+        play_crowd(target, LEGAL_SENDINGS['unfinished']),
+        *(call() for _ in range(MEMBERS)),
+    )
+
+
 async def play_stop(target: Target, stopped: Awaitable[int]) -> None:
     """Stop a process by SIGTERM while a crowd leaves requests unfinished.
 
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -16,6 +16,8 @@
 
 Response = tuple[int, dict[str, str], bytes]
 Handler = Callable[[CallerRequest], Awaitable[Response | None]]
+# Below the limit of a response, 16 MiB.
+LARGE_BODY = b'l' * (15 * 1024 * 1024)
 
 
 class LoopbackListener:
@@ -302,3 +304,14 @@
 
     def _notice_fields(self) -> dict[str, str]:
         return {headers.LEAVING: '1'} if self.is_leaving else {}
+
+
+class LargeServer(PlatformServer):
+    """Server with large responses."""
+
+    async def _handle(self, request: CallerRequest) -> Response | None:
+        response = await super()._handle(request)
+        if response is None or request.target == '/health':
+            return response
+        status, fields, _ = response
+        return status, fields, LARGE_BODY
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -13,20 +13,17 @@
 from gateway_process import REQUESTS_PER_CALLER
 from gateway_process import running
 from gateway_process import SERVERS
+from platform_world import LargeServer
 from platform_world import LoopbackListener
 from platform_world import PlatformServer
-from platform_world import Response
 import pytest
 
 from teaselrock.platform import headers
-from teaselrock.transport.request_parser import CallerRequest
 
 FAULTY = SERVERS // 4
 CALLERS = 30
 ENDLESS_CALLERS = 30
 BLOCK = 64 * 1024
-# Below the limit of a response, 16 MiB.
-LARGE_BODY = b'l' * (15 * 1024 * 1024)
 SLOW_CALLERS = 30
 MIB = 1024 * 1024
 # Share of the sound service's requests that have to be served.
@@ -105,17 +102,6 @@
         )
 
 
-class LargeServer(PlatformServer):
-    """Server with large responses."""
-
-    async def _handle(self, request: CallerRequest) -> Response | None:
-        response = await super()._handle(request)
-        if response is None or request.target == '/health':
-            return response
-        status, fields, _ = response
-        return status, fields, LARGE_BODY
-
-
 async def _call_all(gateway: GatewayProcess) -> None:
     """Use both services; check the sound one's responses and the process.
 
--- a/tests/platform/test_platform_crowds.py
+++ b/tests/platform/test_platform_crowds.py
@@ -10,6 +10,7 @@
 
 from gateway_process import GatewayProcess
 from gateway_process import running
+from platform_world import LargeServer
 from platform_world import PlatformServer
 import pytest
 
@@ -24,11 +25,12 @@
     work_dir: pathlib.Path,
     scenario: Callable[[GatewayProcess], Awaitable[None]],
     *,
+    make_server: Callable[[str], PlatformServer] = PlatformServer,
     max_fds: int | None = None,
     max_body_bytes: int = crowd.MAX_BODY_BYTES,
 ) -> None:
     async def main() -> None:
-        servers = [PlatformServer(f'i-{number}') for number in range(SERVERS)]
+        servers = [make_server(f'i-{number}') for number in range(SERVERS)]
         for server in servers:
             server.http.limits = CallerLimits(max_body_bytes=max_body_bytes)
         async with running(
@@ -89,6 +91,27 @@
     _play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize('reads_all', [True, False])
+def test_large_responses_beside_a_crowd(
+    tmp_path: pathlib.Path, reads_all: bool
+) -> None:
+    """Guards against accounts that fit the memory one by one only.
+
+    While unfinished bodies take their share, other callers request large
+    responses at the same time.
+    """
+    _play(
+        tmp_path,
+        lambda gateway: crowd.play_large_responses(
+            gateway,
+            'GET /x/1 HTTP/1.1\r\nHost: a.example\r\n'
+            f'{headers.REQUEST_ID}: large\r\nConnection: close\r\n\r\n',
+            reads_all=reads_all,
+        ),
+        make_server=LargeServer,
+    )
+
+
 def test_stop_beside_a_crowd(tmp_path: pathlib.Path) -> None:
     """Guards against a stop that waits for unfinished bodies."""
 
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -307,6 +307,24 @@
     play(scenario)
 
 
+@pytest.mark.parametrize('reads_all', [True, False])
+def test_large_responses_beside_a_crowd(play: Play, reads_all: bool) -> None:
+    """Guards against accounts that fit the memory one by one only.
+
+    While unfinished bodies take their share, other callers request large
+    responses at the same time.
+    """
+
+    play(
+        lambda gateway: crowd.play_large_responses(
+            gateway,
+            f'GET {LARGE_PATH} HTTP/1.1\r\n{REQUEST_FIELDS}'
+            'Connection: close\r\n\r\n',
+            reads_all=reads_all,
+        )
+    )
+
+
 @pytest.mark.parametrize('framing', ['length', 'chunks'])
 def test_single_largest_body_is_served(
     tmp_path: pathlib.Path, gateway_settings: GatewaySettings, framing: str
