--- a/tests/daemon/test_allocator.py
+++ b/tests/daemon/test_allocator.py
@@ -9,12 +9,13 @@
 # Frees a block that raises glibc's threshold, then blocks below it that are
 # kept apart by small ones; prints what the process holds afterwards.
 SCRIPT = """
+import resource
 import sys
 from teaselrock.daemon import allocator
 
 def resident_bytes():
     with open('/proc/self/statm') as file:
-        return int(file.read().split()[1]) * 4096
+        return int(file.read().split()[1]) * resource.getpagesize()
 
 if sys.argv[1] == 'set':
     assert allocator.return_large_blocks()
