--- a/tests/platform/test_stalled_process.py
+++ b/tests/platform/test_stalled_process.py
@@ -1,5 +1,6 @@
 """Requests while the process of a gateway does not run for some time."""
 
+import gc
 import time
 
 from gateway_world import Run
@@ -32,6 +33,8 @@
     """
 
     async def scenario(world: World) -> None:
+        # A full collection of the test process would be another stall.
+        gc.collect()
         if is_connected:
             assert (await world.send_request('/x/1'))[0] == 200
         stall_once(world)
