--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -119,6 +119,12 @@
 )
 
 
+# Bodies that count as small in the account of requests. No member completes
+# its request, so that no connections to servers stay open.
+SMALL_BODIES = Sending(f'Content-Length: {BLOCK}\r\n', b'x' * (BLOCK - 1), 1)
+SMALL_BODY_MEMBERS = 1400
+
+
 def largest_body(framing: str) -> Sending:
     """A body of the users' largest size, in one piece or in large chunks."""
     if framing == 'length':
--- a/tests/platform/test_platform_crowds.py
+++ b/tests/platform/test_platform_crowds.py
@@ -91,6 +91,16 @@
     _play(tmp_path, scenario)
 
 
+def test_many_small_bodies(tmp_path: pathlib.Path) -> None:
+    """Guards against bodies and connections that add up to the memory."""
+    _play(
+        tmp_path,
+        lambda gateway: crowd.play_crowd(
+            gateway, crowd.SMALL_BODIES, members=crowd.SMALL_BODY_MEMBERS
+        ),
+    )
+
+
 @pytest.mark.parametrize('reads_all', [True, False])
 def test_large_responses_beside_a_crowd(
     tmp_path: pathlib.Path, reads_all: bool
--- a/tests/processes/test_customer_crowds.py
+++ b/tests/processes/test_customer_crowds.py
@@ -307,6 +307,15 @@
     play(scenario)
 
 
+def test_many_small_bodies(play: Play) -> None:
+    """Guards against bodies and connections that add up to the memory."""
+    play(
+        lambda gateway: crowd.play_crowd(
+            gateway, crowd.SMALL_BODIES, members=crowd.SMALL_BODY_MEMBERS
+        )
+    )
+
+
 @pytest.mark.parametrize('reads_all', [True, False])
 def test_large_responses_beside_a_crowd(play: Play, reads_all: bool) -> None:
     """Guards against accounts that fit the memory one by one only.
