Release a served body while its connection is idle

Bodies of up to 64 MiB stayed in memory until their connection's next request or its end, in no account: a variable of the connection's task kept the requests that were read last. Each read is a method of its own now, which also replaces the deletion of the bytes that were read.

test_served_body_is_released_while_the_connection_is_idle failed before: the body was released only when the idle connection was closed.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -219,27 +219,33 @@
 
     async def _read_requests(self) -> None:
         """Read until the caller closes, an error, or the last response."""
-        while not self._writer.is_closing():
-            self._parser.set_limits(self._handler.limits)
-            data = await self._read()
-            if not data:
-                return
-            self._has_received = True
-            try:
-                requests = self._parser.feed(data)
-            except RequestError as error:
-                await self._start_requests(
-                    self._parser.take_complete_requests()
-                )
-                self._error = error
-                return
-            # It would take its size again until more is read.
-            del data
-            if self._parser.take_expect_continue():
-                self._writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            await self._start_requests(requests)
-            if self._parser.has_small_parts:
-                await asyncio.sleep(0)
+        may_continue = True
+        while may_continue and not self._writer.is_closing():
+            may_continue = await self._read_once()
+
+    async def _read_once(self) -> bool:
+        """Read, and start what is complete; False if nothing may follow.
+
+        A method of its own, since no variable may keep bytes or requests
+        until more is read.
+        """
+        self._parser.set_limits(self._handler.limits)
+        data = await self._read()
+        if not data:
+            return False
+        self._has_received = True
+        try:
+            requests = self._parser.feed(data)
+        except RequestError as error:
+            await self._start_requests(self._parser.take_complete_requests())
+            self._error = error
+            return False
+        if self._parser.take_expect_continue():
+            self._writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        await self._start_requests(requests)
+        if self._parser.has_small_parts:
+            await asyncio.sleep(0)
+        return True
 
     async def _read(self) -> bytes:
         """Read within the time limits; b'' if the connection has to end."""
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from memory_trace import traced_without_collector
+from memory_trace import wait_released
 import pytest
 
 from teaselrock.state.routes import CallerLimits
@@ -182,6 +183,23 @@
     asyncio.run(main())
 
 
+def test_served_body_is_released_while_the_connection_is_idle() -> None:
+    """Guards against bodies that stay until a connection's next request."""
+
+    async def main() -> None:
+        async with _listening() as connections:
+            connections.handler.release.set()
+            with traced_without_collector():
+                reader, writer = await connections.send(BODY_BYTES, BODY_BYTES)
+                await reader.readuntil(b'\r\n\r\n')
+                await wait_released(LEFT_BYTES)
+            assert connections.memory.total_bytes == 0
+            assert connections.listener.connections == 1
+            writer.close()
+
+    asyncio.run(main())
+
+
 def test_announced_body_without_room_is_refused_at_once() -> None:
     """Guards against bodies that are received although they have no room.
 
