--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -15,6 +15,7 @@
 from expression import Ok
 from expression import Result
 from memory_trace import traced_without_collector
+from memory_trace import wait_released
 import pytest
 from refused_requests import AUTH
 from refused_requests import head
@@ -428,3 +429,24 @@
         assert dispatcher.requests == []
 
     asyncio.run(main())
+
+
+def test_served_body_is_released_while_the_connection_is_idle() -> None:
+    """Guards against bodies that stay until a connection's next request."""
+    size = 2_000_000
+
+    async def main() -> None:
+        dispatcher = ScriptedDispatcher(BackendResponse(200, (), b'ok'))
+        async with _served(dispatcher, max_body_bytes=size) as (
+            reader,
+            writer,
+        ):
+            with traced_without_collector():
+                writer.write(post(f'Content-Length: {size}\r\n').encode())
+                writer.write(b'x' * size)
+                assert (await _read(reader)).status == 200
+                dispatcher.requests.clear()
+                await wait_released(size // 4)
+            assert not reader.at_eof()
+
+    asyncio.run(main())
