Share the loop that writes large bodies in parts

Requests to servers and the responses of both interfaces each had the loop and the constant of 64 KiB; body_parts serves all three. No change of behaviour; tests of the transport layer pass.

--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -27,6 +27,8 @@
 from teaselrock.state import RequestContent
 from teaselrock.state import ServerState
 from teaselrock.state import Verdict
+from teaselrock.transport.body_parts import body_parts
+from teaselrock.transport.body_parts import PART_BYTES
 from teaselrock.transport.dialect import BackendDialect
 from teaselrock.transport.dialect import DefaultBackendDialect
 from teaselrock.transport.dialect import ResponseInfo
@@ -48,8 +50,6 @@
 IDLE_MARGIN_S: Final = 1.0
 # Late responses to earlier requests that are skipped in one exchange.
 MAX_LATE_RESPONSES: Final = 2
-# A larger body is sent in parts of this size.
-SEND_BYTES: Final = 64 * 1024
 UNKNOWN_LOAD: Final = LoadReport('', ServerState.COLD, 0, 1)
 
 _FORBIDDEN_IN_HEADER: Final = re.compile(r'[\r\n\0]')
@@ -160,7 +160,7 @@
         sending: asyncio.Task[None] | None = None
         try:
             async with asyncio.timeout_at(deadline):
-                if len(content.body) <= SEND_BYTES:
+                if len(content.body) <= PART_BYTES:
                     self._writer.write(head + content.body)
                 else:
                     self._writer.write(head)
@@ -222,9 +222,9 @@
 
     async def _send(self, body: bytes | bytearray) -> None:
         """Send a large body in parts, so that no copy of it is buffered."""
-        with memoryview(body) as view, contextlib.suppress(OSError):
-            for start in range(0, len(view), SEND_BYTES):
-                self._writer.write(view[start : start + SEND_BYTES])
+        with contextlib.suppress(OSError):
+            for part in body_parts(body):
+                self._writer.write(part)
                 # A lost connection is reported where the response is read.
                 await self._writer.drain()
 
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -19,11 +19,11 @@
 from teaselrock.transport.accept_queue import accept_queued
 from teaselrock.transport.accept_queue import BACKLOG
 from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
+from teaselrock.transport.body_parts import body_parts
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
-from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_reader import CallerProtocol
 from teaselrock.transport.caller_reader import CallerReader
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
@@ -380,16 +380,15 @@
     async def _write(
         self, response: CallerResponse, *, is_head: bool, closes: bool
     ) -> None:
-        data = encode_head(response, is_head=is_head, closes=closes)
-        body = memoryview(b'' if is_head else response.body)
-        # The head goes with the first part, which saves a packet.
-        data += body[:WRITE_BYTES]
+        head = encode_head(response, is_head=is_head, closes=closes)
+        parts = body_parts(b'' if is_head else response.body)
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_S):
-                self._writer.write(data)
+                # The head goes with the first part, which saves a packet.
+                self._writer.write(head + next(parts, b''))
                 await self._writer.drain()
-                for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
-                    self._writer.write(body[start : start + WRITE_BYTES])
+                for part in parts:
+                    self._writer.write(part)
                     await self._writer.drain()
         except (OSError, TimeoutError) as error:
             self._writer.transport.abort()
--- a/src/teaselrock/transport/caller_limits.py
+++ b/src/teaselrock/transport/caller_limits.py
@@ -11,9 +11,6 @@
 # Bytes that are parsed in one turn of the loop from a body in small chunks,
 # each of which takes time. Other connections then get their turn.
 SMALL_CHUNKS_READ_BYTES: Final = 4096
-# A larger body is written in parts of this size, each after the caller has
-# read most of those before, so that the transport holds no copy of the body.
-WRITE_BYTES: Final = 64 * 1024
 
 
 class CallerLimit(enum.StrEnum):
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -23,12 +23,12 @@
 from teaselrock.state import Verdict
 from teaselrock.transport.accept_queue import accept_queued
 from teaselrock.transport.accept_queue import FIRST_REQUEST_TIMEOUT_S
+from teaselrock.transport.body_parts import body_parts
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import MAX_FRAMING_BYTES
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
-from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_reader import READ_AHEAD_BYTES
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
@@ -78,9 +78,8 @@
 
     async def write(self, writer: AbstractStreamWriter) -> None:
         """Write all parts, each after most of those before were read."""
-        view = memoryview(self._value)
-        for start in range(0, len(view), WRITE_BYTES):
-            await writer.write(view[start : start + WRITE_BYTES])
+        for part in body_parts(self._value):
+            await writer.write(part)
             await writer.drain()
 
     def decode(self, encoding: str = 'utf-8', errors: str = 'strict') -> str:
--- a/src/teaselrock/transport/front_end.py
+++ b/src/teaselrock/transport/front_end.py
@@ -35,10 +35,10 @@
 from teaselrock.state import Verdict
 from teaselrock.state.configuration import ServiceEntry
 from teaselrock.transport import lookup
+from teaselrock.transport.body_parts import PART_BYTES
 from teaselrock.transport.caller_limits import CallerLimit
 from teaselrock.transport.caller_limits import CallerLimitObserver
 from teaselrock.transport.caller_limits import NoCallerLimitObserver
-from teaselrock.transport.caller_limits import WRITE_BYTES
 from teaselrock.transport.caller_server import count_read_ahead
 from teaselrock.transport.caller_server import LargeBody
 from teaselrock.transport.caller_server import refusal_response
@@ -281,7 +281,7 @@
     body = backend_response.body
     response = web.Response(
         status=backend_response.status,
-        body=LargeBody(body) if len(body) > WRITE_BYTES else body or None,
+        body=LargeBody(body) if len(body) > PART_BYTES else body or None,
     )
     for name, value in backend_response.headers:
         lower = name.lower()
