--- a/src/teaselrock/daemon/gateway.py
+++ b/src/teaselrock/daemon/gateway.py
@@ -54,7 +54,7 @@
 from teaselrock.transport.operators_endpoint import OperatorsEndpoint
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.request_memory import RequestMemory
-from teaselrock.transport.response_memory import MEMORY_SHARE
+from teaselrock.transport.response_memory import response_limit
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.store import HttpPlatformList
 from teaselrock.transport.store import HttpStore
@@ -329,7 +329,7 @@
             ),
             connector=HttpConnector(
                 memory=ResponseMemory(
-                    limit_bytes=int(self._options.memory_bytes * MEMORY_SHARE)
+                    limit_bytes=response_limit(self._options.memory_bytes)
                 )
             ),
             codec=JsonDocumentCodec(),
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -48,8 +48,7 @@
 from teaselrock.transport.relay_link import StreamRelayLink
 from teaselrock.transport.request_memory import DEFAULT_MEMORY_BYTES
 from teaselrock.transport.request_memory import RequestMemory
-from teaselrock.transport.response_memory import DEFAULT_LIMIT_BYTES
-from teaselrock.transport.response_memory import MEMORY_SHARE
+from teaselrock.transport.response_memory import response_limit
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.routed_front_end import RoutedFrontEnd
 from teaselrock.transport.unread_responses import UnreadResponses
@@ -116,7 +115,7 @@
             stream=sys.stdout,
         )
         self._response_memory = ResponseMemory(
-            limit_bytes=_response_memory_limit(settings)
+            limit_bytes=response_limit(settings.limits.memory_bytes)
         )
         limit_observer = CallerLimitLog(
             events=self._events, metrics=self._metrics
@@ -336,13 +335,6 @@
         }
 
 
-def _response_memory_limit(settings: ProcessSettings) -> int:
-    memory_bytes = settings.limits.memory_bytes
-    if memory_bytes is None:
-        return DEFAULT_LIMIT_BYTES
-    return int(memory_bytes * MEMORY_SHARE)
-
-
 def _modified_at_ns(path: pathlib.Path) -> int:
     """Modification time in nanoseconds, 0 if the file cannot be read."""
     try:
--- a/src/teaselrock/transport/response_memory.py
+++ b/src/teaselrock/transport/response_memory.py
@@ -15,6 +15,17 @@
 DEFAULT_LIMIT_BYTES: Final = 64 * 1024 * 1024
 
 
+def response_limit(memory_bytes: int | None) -> int:
+    """Limit of responses under way, in bytes.
+
+    `memory_bytes` is the memory of the process, None if its settings name
+    none.
+    """
+    if memory_bytes is None:
+        return DEFAULT_LIMIT_BYTES
+    return int(memory_bytes * MEMORY_SHARE)
+
+
 class HeldResponse:
     """Bytes of one response that is being received."""
 
