--- a/review/7/case.py
+++ b/review/7/case.py
@@ -214,7 +214,11 @@
                 stopped_at[gateway.name] = record.now
                 record.add('SIGTERM', to=gateway.name)
                 gateway.terminate()
-                await asyncio.wait_for(gateway.process.wait(), GRACE_S)
+                try:
+                    await asyncio.wait_for(gateway.process.wait(), GRACE_S)
+                except TimeoutError:
+                    gateway.process.kill()
+                    await gateway.process.wait()
                 record.add('exit', of=gateway.name)
                 await gateway.start()
         await asyncio.sleep(1.0)
