Wait for callers to close after their last response

Cause: the socket was closed as soon as the kernel had the last response. A request that arrives then makes the kernel reset the connection and discard what it has not delivered. The same happened after Connection: close of the caller, after HTTP/1.0 requests, and when idle connections were closed.

Change: the gateway shuts down sending and discards input until the caller closes, up to 1 s after everything was acknowledged (TIOCOUTQ) and 10 s in all. No request starts once the last response has begun.

Why it works: a caller stops sending when it reads that the connection ends, so nothing arrives at a closed socket before the response is delivered.

test_input_after_a_rejection_is_limited sets the new time limit too, so that only the limit of bytes ends the connection there, as before.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -30,6 +30,9 @@
 from teaselrock.transport.connection_table import ACCEPT_BATCH
 from teaselrock.transport.connection_table import ConnectionTable
 from teaselrock.transport.connection_table import DEFAULT_LIMIT
+from teaselrock.transport.lingering_close import linger
+from teaselrock.transport.lingering_close import LINGER_S
+from teaselrock.transport.lingering_close import RECENT_RESPONSE_S
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -41,9 +44,7 @@
 MAX_PIPELINED_REQUESTS: Final = 16
 # A caller that does not read its response within this time is disconnected.
 WRITE_TIMEOUT_S: Final = 10.0
-# Time for which input is still read after the response to an invalid request,
-# and the least number of bytes after which that ends too.
-LINGER_S: Final = 1.0
+# Least number of bytes after which input is no longer discarded.
 MIN_LINGER_BYTES: Final = 1024 * 1024
 # Interval at which a closing listener checks for connections that became idle.
 CLOSE_POLL_S: Final = 0.05
@@ -131,6 +132,14 @@
         self._response_expected = asyncio.Event()
         self._response_written = asyncio.Event()
         self._error: RequestError | None = None
+        # Cancels the reading of requests when it expires, and has no limit
+        # until then; None while no requests are read.
+        self._reading: asyncio.Timeout | None = None
+        # Whether no further request may start, since the last response has
+        # begun or the connection was idle.
+        self._is_ending = False
+        self._has_announced_end = False
+        self._response_written_at = float('-inf')
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
         # The head or body that is being read, and the time that reading it
@@ -148,6 +157,11 @@
             and (self._has_received or self._age >= FIRST_REQUEST_TIMEOUT_S)
         )
 
+    @property
+    def _may_continue(self) -> bool:
+        """Whether further requests may start."""
+        return not self._is_ending and not self._writer.is_closing()
+
     @property
     def _age(self) -> float:
         """Seconds since the connection was accepted."""
@@ -160,10 +174,26 @@
     def close_idle(self) -> None:
         """Close the connection if it is idle."""
         if self.is_idle:
-            self._writer.close()
+            self._end_reading()
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
+        try:
+            await self._serve_requests()
+            await self._linger()
+        except OSError:
+            # The caller disconnected.
+            pass
+        finally:
+            self._reader.close()
+            self._writer.close()
+
+    async def _serve_requests(self) -> None:
+        """Read and serve requests until no further response may be sent.
+
+        The requests that are still served then are cancelled: the caller has
+        disconnected, or sends them again.
+        """
         writer_task = asyncio.create_task(self._write_responses())
         try:
             try:
@@ -178,10 +208,6 @@
                     )
                 self._response_expected.set()
                 await writer_task
-                await self._linger()
-        except OSError:
-            # The caller disconnected; its requests are cancelled below.
-            pass
         finally:
             writer_task.cancel()
             for pending in self._pending:
@@ -193,35 +219,58 @@
             )
             self._pending.clear()
             self._unread.close()
-            self._reader.close()
-            self._writer.close()
+            self._table.end_service(self)
 
     async def _linger(self) -> None:
-        """Read and discard input for `LINGER_S`, up to twice a largest body.
+        """End the responses, and wait until the connection may be closed.
 
-        Closing a socket with unread input resets the connection, and the
-        caller could lose the response.
+        Input is discarded up to twice a largest body.
         """
-        self._writer.write_eof()
+        if self._writer.is_closing():
+            return
         remaining_bytes = max(
             2 * self._handler.limits.max_body_bytes, MIN_LINGER_BYTES
         )
+
+        async def discard_input() -> None:
+            nonlocal remaining_bytes
+            while remaining_bytes > 0:
+                data = await self._reader.read(READ_BYTES)
+                if not data:
+                    return
+                remaining_bytes -= len(data)
+
+        seconds = LINGER_S
+        if not self._has_announced_end:
+            now = asyncio.get_running_loop().time()
+            seconds = RECENT_RESPONSE_S - (now - self._response_written_at)
+        await linger(
+            self._writer.transport,
+            discard_input=discard_input,
+            seconds=seconds,
+        )
+
+    def _end_reading(self) -> None:
+        """Read no more requests; `run` then ends the connection."""
+        self._is_ending = True
+        reading, self._reading = self._reading, None
+        if reading is not None:
+            reading.reschedule(asyncio.get_running_loop().time())
+
+    async def _read_requests(self) -> None:
+        """Read until the caller closes, an error, or `_end_reading`."""
+        if self._is_ending:
+            return
         try:
-            async with asyncio.timeout(LINGER_S):
-                while remaining_bytes > 0:
-                    data = await self._reader.read(READ_BYTES)
-                    if not data:
+            async with asyncio.timeout(None) as self._reading:
+                while not self._writer.is_closing():
+                    if not await self._read_once():
                         return
-                    remaining_bytes -= len(data)
         except TimeoutError:
-            # The caller is still sending; closing resets the connection.
+            # `_end_reading` was called.
             return
-
-    async def _read_requests(self) -> None:
-        """Read until the caller closes, an error, or the last response."""
-        may_continue = True
-        while may_continue and not self._writer.is_closing():
-            may_continue = await self._read_once()
+        finally:
+            self._reading = None
 
     async def _read_once(self) -> bool:
         """Read, and start what is complete; False if nothing may follow.
@@ -233,6 +282,9 @@
         data = await self._read()
         if not data:
             return False
+        if self._is_ending:
+            # Callers send again what follows the last response.
+            return True
         self._has_received = True
         try:
             requests = self._parser.feed(data)
@@ -319,13 +371,13 @@
         closed the connection. A request that must not run twice therefore
         starts only after all earlier responses are written.
         """
-        while not self._writer.is_closing() and (
+        while self._may_continue and (
             len(self._pending) >= MAX_PIPELINED_REQUESTS
             or (self._pending and not self._handler.may_pipeline(request))
         ):
             self._response_written.clear()
             await self._response_written.wait()
-        return not self._writer.is_closing()
+        return self._may_continue
 
     def _start(self, request: CallerRequest) -> None:
         task = asyncio.create_task(self._serve(request))
@@ -355,7 +407,7 @@
                 self._response_expected.clear()
                 await self._response_expected.wait()
             may_continue = await self._write_next_response()
-        self._writer.close()
+        self._end_reading()
 
     async def _write_next_response(self) -> bool:
         """Write the first pending response; False if it was the last one.
@@ -368,6 +420,7 @@
         closes = not pending.keep_alive or (
             self._is_closing() and len(self._pending) == 1
         )
+        self._is_ending = self._is_ending or closes
         try:
             await self._write(response, is_head=pending.is_head, closes=closes)
         finally:
@@ -380,6 +433,7 @@
     async def _write(
         self, response: CallerResponse, *, is_head: bool, closes: bool
     ) -> None:
+        self._has_announced_end = closes
         head = encode_head(response, is_head=is_head, closes=closes)
         parts = body_parts(b'' if is_head else response.body)
         try:
@@ -390,6 +444,7 @@
                 for part in parts:
                     self._writer.write(part)
                     await self._writer.drain()
+            self._response_written_at = asyncio.get_running_loop().time()
         except (OSError, TimeoutError) as error:
             self._writer.transport.abort()
             # A future in `drain` and the traceback refer to each other, and
--- /dev/null
+++ b/src/teaselrock/transport/lingering_close.py
@@ -0,0 +1,83 @@
+"""Lingering close, which loses no responses on their way to a caller.
+
+A socket that is closed while input is unread, or that gets input afterwards,
+resets its connection. The reset makes the kernel discard what it has not
+delivered, and a caller that sends requests ahead does not know yet that
+nothing may follow. So the gateway first shuts down sending, and discards
+input until the caller closes too (RFC 9112, section 9.6).
+
+`caller_connection` uses it.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import fcntl
+import socket
+import struct
+import termios
+from typing import Final
+
+# Time for which the connection stays open after the caller has acknowledged
+# everything, so that its program can read it and close.
+LINGER_S: Final = 1.0
+# A connection whose last response is older than this is closed at once if the
+# caller has acknowledged it.
+RECENT_RESPONSE_S: Final = 0.5
+# A caller that does not acknowledge the responses within this time loses them.
+MAX_LINGER_S: Final = 10.0
+# Interval at which the acknowledgement is looked for.
+_POLL_S: Final = 0.1
+_INT: Final = struct.Struct('i')
+
+
+async def linger(
+    transport: asyncio.WriteTransport,
+    *,
+    discard_input: Callable[[], Awaitable[None]],
+    seconds: float = LINGER_S,
+) -> None:
+    """Shut down sending, and wait until the connection may be closed.
+
+    `discard_input` returns when the caller has closed or has sent too much;
+    it may be cancelled and called again. The wait ends `seconds` after
+    everything was acknowledged, and `MAX_LINGER_S` after the call at the
+    latest. Raises `OSError` if `discard_input` does.
+    """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + MAX_LINGER_S
+    is_acknowledged = False
+    while True:
+        now = loop.time()
+        if not is_acknowledged and not _has_unacknowledged_data(transport):
+            is_acknowledged = True
+            ends_at = min(ends_at, now + seconds)
+        if now >= ends_at:
+            return
+        # Has an effect only the first time.
+        transport.write_eof()
+        try:
+            async with asyncio.timeout_at(min(ends_at, now + _POLL_S)):
+                await discard_input()
+                return
+        except TimeoutError:
+            continue
+
+
+def _has_unacknowledged_data(transport: asyncio.WriteTransport) -> bool:
+    """Whether the caller's system has not acknowledged all data and the end.
+
+    False if the system does not tell.
+    """
+    if transport.get_write_buffer_size() > 0:
+        return True
+    connected: socket.socket | None = transport.get_extra_info('socket')
+    if connected is None or connected.fileno() < 0:
+        return False
+    try:
+        answer = fcntl.ioctl(
+            connected.fileno(), termios.TIOCOUTQ, bytes(_INT.size)
+        )
+    except OSError:
+        return False
+    return bool(_INT.unpack(answer)[0] > 0)
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -11,6 +11,7 @@
 
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport import caller_connection
+from teaselrock.transport import lingering_close
 from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
 from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
@@ -526,6 +527,7 @@
     The time limit does not end the connection here.
     """
     monkeypatch.setattr(caller_connection, 'LINGER_S', 60.0)
+    monkeypatch.setattr(lingering_close, 'MAX_LINGER_S', 60.0)
     block = b'x' * caller_connection.MIN_LINGER_BYTES
 
     async def scenario(
