Wait for callers to close on the product's interface too

Cause: aiohttp closes the socket as soon as it has written the last response, and closes idle connections at a stop in the same way.

Change: aiohttp gets a transport whose close() is a lingering close, and the stop waits for such connections.

Why it works: each place in aiohttp that ends a connection calls close() of the transport.

Evidence: the four cases of the product's interface in tests/transport/test_lingering_close.py fail without the change.

--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import socket
 from typing import Any
+from typing import cast
 from typing import Final
 
 from aiohttp import Payload
@@ -33,14 +34,14 @@
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
 from teaselrock.transport.connection_table import DEFAULT_LIMIT
+from teaselrock.transport.lingering_close import LINGER_S
+from teaselrock.transport.lingering_close import RECENT_RESPONSE_S
+from teaselrock.transport.lingering_transport import LingeringTransport
 from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.unread_responses import UnreadBytes
 from teaselrock.transport.unread_responses import UnreadResponses
 
-# Time for which input is read after a refused body. Closing a socket with
-# unread input resets the connection, and the caller could lose the refusal.
-LINGER_S: Final = 1.0
 # Interval at which a stopping server checks for first requests.
 FIRST_REQUEST_POLL_S: Final = 0.05
 
@@ -110,11 +111,14 @@
         '_body',
         '_body_wire_bytes',
         '_buffer',
+        '_has_announced_end',
         '_has_received',
         '_held',
         '_is_reading_ahead',
+        '_lingering',
         '_observer',
         '_opened_at',
+        '_response_written_at',
         '_unread',
         '_unread_responses',
     )
@@ -140,6 +144,9 @@
         self._body_wire_bytes = 0
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
+        self._has_announced_end = False
+        self._response_written_at = float('-inf')
+        self._lingering: LingeringTransport | None = None
 
     def begin_body(self, body: StreamReader) -> None:
         """Limit the framing of a body that is received from now on."""
@@ -169,13 +176,20 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the transport at the beginning."""
-        super().connection_made(transport)
-        if isinstance(transport, asyncio.WriteTransport):
-            self._unread = self._unread_responses.open(abort=transport.abort)
+        stream = cast(asyncio.Transport, transport)
+        self._lingering = LingeringTransport(
+            transport=stream, linger_s=self._linger_s
+        )
+        super().connection_made(cast(asyncio.Transport, self._lingering))
+        self._unread = self._unread_responses.open(abort=stream.abort)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Called by the transport at the end."""
         self._held.release()
+        if self._lingering is not None:
+            self._lingering.stop_waiting()
+            # It refers to this connection.
+            self._lingering = None
         if self._unread is not None:
             self._unread.close()
         super().connection_lost(exc)
@@ -194,7 +208,10 @@
         if self._unread is not None:
             self._unread.add(size)
         try:
-            return await super().finish_response(request, resp, start_time)
+            result = await super().finish_response(request, resp, start_time)
+            self._has_announced_end = not resp.keep_alive
+            self._response_written_at = asyncio.get_running_loop().time()
+            return result
         finally:
             if self._unread is not None:
                 self._unread.remove(size)
@@ -210,6 +227,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by the transport with the number of bytes received."""
+        if self._lingering is not None and self._lingering.is_lingering:
+            self._lingering.discard(nbytes)
+            return
         if self._is_reading_ahead and not self._held.resize(
             self._held.size + nbytes
         ):
@@ -236,8 +256,20 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
+        if self._lingering is not None:
+            self._lingering.abort()
+
+    async def wait_closed(self) -> None:
+        """Wait until a close that has begun is complete."""
+        if self._lingering is not None:
+            await self._lingering.wait_closed()
+
+    def _linger_s(self) -> float:
+        """Seconds to linger after the caller has acknowledged everything."""
+        if self._has_announced_end:
+            return LINGER_S
+        now = asyncio.get_running_loop().time()
+        return RECENT_RESPONSE_S - (now - self._response_written_at)
 
     @property
     def expects_first_request(self) -> bool:
@@ -368,8 +400,14 @@
             await asyncio.sleep(FIRST_REQUEST_POLL_S)
 
     async def shutdown(self, timeout: float | None = None) -> None:
-        """Wait for the requests in progress, then close connections."""
+        """Wait for the requests in progress, then close connections.
+
+        Returns when callers have read their last responses, or had the time.
+        """
+        connections = tuple(self._table)
         await super().shutdown(self._shutdown_timeout_s or timeout)
+        for connection in connections:
+            await connection.wait_closed()
 
     def __call__(self) -> RequestHandler:
         """Create the protocol of a new connection."""
--- a/src/teaselrock/transport/lingering_close.py
+++ b/src/teaselrock/transport/lingering_close.py
@@ -6,7 +6,7 @@
 nothing may follow. So the gateway first shuts down sending, and discards
 input until the caller closes too (RFC 9112, section 9.6).
 
-`caller_connection` uses it.
+`caller_connection` and `lingering_transport` use it.
 """
 
 import asyncio
