Open another connection if that of the load check has ended

Cause: the last second of a stated idle timeout is not used, which leaves nothing of one second. Also, an attempt used the connection of its load check without asking whether it had ended, so Connection: close in the answer to a load check failed each request too.

Change: the margin is at most half of the timeout. An attempt whose connection has ended takes another one to the same server. On the product's interface a connection that ends with its load report is replaced, and the new one keeps the report.

Why it works: nothing was sent on the ended connection, so a new one cannot run the request twice; slot, claim and deadline are checked after it is open.

--- a/src/teaselrock/coordination/attempts.py
+++ b/src/teaselrock/coordination/attempts.py
@@ -290,14 +290,18 @@
     ) -> Result[BackendConnection, ExchangeFailure]:
         """Take a connection if the request may still be sent.
 
+        That of the slot is replaced if it has ended since the check: a server
+        may close after each response, or state a short idle timeout.
         The slot or the claim may have expired while the process was paused,
         so both are checked immediately before the request is sent.
         """
-        if slot.connection is not None:
+        if slot.connection is not None and slot.connection.is_open:
             opened: Result[BackendConnection, ExchangeFailure] = Ok(
                 slot.connection
             )
         else:
+            if slot.connection is not None:
+                slot.connection.close()
             opened = await self._connections.take(
                 server=slot.server,
                 start_id=slot.start_id,
--- a/src/teaselrock/coordination/connections.py
+++ b/src/teaselrock/coordination/connections.py
@@ -69,7 +69,8 @@
         """Take an idle connection or open one.
 
         Fails with `SERVER_CHANGED` if the server's start id is not `start_id`;
-        '' matches any.
+        '' matches any. The start id is unknown if the connector reads no load
+        report; the request then names the server that may run it.
         """
         connection = self.take_idle(server=server, start_id=start_id)
         if connection is not None:
@@ -80,7 +81,9 @@
         if opened.is_error():
             return opened
         connection = opened.ok
-        if start_id in ('', connection.load.start_id):
+        if '' in (start_id, connection.load.start_id) or (
+            start_id == connection.load.start_id
+        ):
             return Ok(connection)
         # The server has a new start id; the connection is kept for the slots
         # that the allocator grants for it next.
--- a/src/teaselrock/coordination/ports/outside.py
+++ b/src/teaselrock/coordination/ports/outside.py
@@ -165,7 +165,7 @@
 
     @property
     def load(self) -> LoadReport:
-        """Latest load report received on this connection."""
+        """Latest load report received on this connection, or before it."""
         ...
 
     @property
@@ -206,7 +206,11 @@
     async def connect(
         self, *, server: BackendServer, deadline: float
     ) -> Result[BackendConnection, ExchangeFailure]:
-        """Connect and read the load report, which contains the start id."""
+        """Connect and read the load report, which contains the start id.
+
+        If the protocol has no such report, the start id is '' and requests
+        name the server that may run them.
+        """
         ...
 
     async def connect_unchecked(
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -46,8 +46,10 @@
 
 CONNECT_TIMEOUT_S: Final = 1.0
 # A connection is not used in the last part of the server's idle timeout,
-# since the server may close it while a request is on the way.
+# since the server may close it while a request is on the way. Of a timeout
+# below two seconds, which servers state in whole seconds, it is a share.
 IDLE_MARGIN_S: Final = 1.0
+IDLE_MARGIN_SHARE: Final = 0.5
 # Late responses to earlier requests that are skipped in one exchange.
 MAX_LATE_RESPONSES: Final = 2
 UNKNOWN_LOAD: Final = LoadReport('', ServerState.COLD, 0, 1)
@@ -66,13 +68,14 @@
         server: BackendServer,
         dialect: BackendDialect,
         memory: ResponseMemory,
+        load: LoadReport = UNKNOWN_LOAD,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._server = server
         self._dialect = dialect
         self._memory = memory
-        self._load = UNKNOWN_LOAD
+        self._load = load
         self._exchange_count = 0
         self._idle_until: float | None = None
         self._is_idle = True
@@ -80,7 +83,7 @@
 
     @property
     def load(self) -> LoadReport:
-        """Latest load report received on this connection."""
+        """Latest load report received on this connection, or before it."""
         return self._load
 
     @property
@@ -284,9 +287,7 @@
         )
         if read.idle_timeout is not None:
             now = asyncio.get_running_loop().time()
-            self._idle_until = now + max(
-                0.0, read.idle_timeout - IDLE_MARGIN_S
-            )
+            self._idle_until = now + _usable_idle_time(read.idle_timeout)
         if read.load is not None:
             self._load = read.load
         if read.failure is not None:
@@ -337,6 +338,12 @@
                 return _incomplete_response(response)
 
 
+def _usable_idle_time(idle_timeout: float) -> float:
+    """Seconds for which an idle connection may be used, of the timeout."""
+    margin = min(IDLE_MARGIN_S, IDLE_MARGIN_SHARE * idle_timeout)
+    return idle_timeout - margin
+
+
 def _incomplete_response(response: ResponseParser) -> ExchangeFailure:
     """Failure of a response that ended early.
 
@@ -370,7 +377,8 @@
         """Connect, and read a load report if the dialect requires one.
 
         Connecting and the load report each take up to `CONNECT_TIMEOUT_S`,
-        within the deadline.
+        within the deadline. If the server closes the connection after the
+        report, another one is opened and keeps that report.
         """
         opened = await self.connect_unchecked(server=server, deadline=deadline)
         if opened.is_error():
@@ -388,12 +396,20 @@
         if checked.is_error() or connection.load.start_id == '':
             connection.close()
             return Error(_connect_failure(server, 'no valid load report'))
-        return Ok(connection)
+        if connection.is_open:
+            return Ok(connection)
+        connection.close()
+        return await self._open(server, deadline, connection.load)
 
     async def connect_unchecked(
         self, *, server: BackendServer, deadline: float
     ) -> Result[HttpConnection, ExchangeFailure]:
         """Connect without reading a load report."""
+        return await self._open(server, deadline, UNKNOWN_LOAD)
+
+    async def _open(
+        self, server: BackendServer, deadline: float, load: LoadReport
+    ) -> Result[HttpConnection, ExchangeFailure]:
         host, _, port = server.address.rpartition(':')
         loop = asyncio.get_running_loop()
         connect_deadline = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
@@ -411,6 +427,7 @@
                 server=server,
                 dialect=self._dialect,
                 memory=self._memory,
+                load=load,
             )
         )
 
--- a/tests/platform/gateway_world.py
+++ b/tests/platform/gateway_world.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import pathlib
 from typing import Any
+from typing import Protocol
 
 from platform_world import PlatformServer
 from platform_world import PlatformStore
@@ -61,11 +63,14 @@
 
 
 class World:
-    """The store, two backend servers and a gateway."""
+    """The store, backend servers (two by default) and a gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, servers: Sequence[PlatformServer] = ()) -> None:
         self.store = PlatformStore()
-        self.servers = [PlatformServer('i-1'), PlatformServer('i-2')]
+        self.servers = list(servers) or [
+            PlatformServer('i-1'),
+            PlatformServer('i-2'),
+        ]
         self.gateway: PlatformGateway | None = None
         self.caller_address = ''
 
@@ -127,4 +132,13 @@
 
 
 Scenario = Callable[[World], Awaitable[None]]
-Run = Callable[[Scenario], None]
+
+
+class Run(Protocol):
+    """Runs a scenario in a started world."""
+
+    def __call__(
+        self, scenario: Scenario, servers: Sequence[PlatformServer] = ()
+    ) -> None:
+        """Run with these servers, or with two plain ones."""
+        ...
--- a/tests/transport/test_backend_connection.py
+++ b/tests/transport/test_backend_connection.py
@@ -6,6 +6,7 @@
 from expression import Result
 import pytest
 
+from teaselrock.coordination.connections import ConnectionPool
 from teaselrock.protocol import fields
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendResponse
@@ -24,6 +25,7 @@
 # The load check is the first exchange of a connection.
 NUMBER = f'{fields.EXCHANGE_NUMBER}: 2'
 OK = (f'HTTP/1.1 200 OK\r\n{NUMBER}\r\nContent-Length: 2\r\n\r\nok').encode()
+NUMBERED_FIRST = f'{fields.EXCHANGE_NUMBER}: 1'.encode()
 UNNUMBERED = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 NUMBERED_CHECK = (
     f'HTTP/1.1 200 OK\r\n{fields.EXCHANGE_NUMBER}: 1\r\n'
@@ -263,3 +265,50 @@
     else:
         assert (result.error.kind, result.error.verdict) == case.expected
     assert is_open is case.is_open
+
+
+def test_server_that_closes_after_its_load_report_gets_the_request() -> None:
+    """Guards against requests refused since the report ended a connection.
+
+    Each response of the server has `Connection: close`.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        if fields.LOAD_TARGET.encode() in head:
+            response = LOADED
+        else:
+            response = OK.replace(NUMBER.encode(), NUMBERED_FIRST)
+        writer.write(
+            response.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
+        )
+        writer.close()
+
+    async def main() -> None:
+        listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        zone = AvailabilityZone('east', 'a')
+        server = BackendServer('s1', 'desk', zone, f'127.0.0.1:{port}', 2)
+        pool = ConnectionPool(connector=HttpConnector())
+        deadline = asyncio.get_running_loop().time() + 60
+        try:
+            for _ in range(2):
+                taken = await pool.take(
+                    server=server, start_id='s', deadline=deadline
+                )
+                result = await taken.ok.exchange(
+                    content=GET, deadline=deadline
+                )
+                assert result.ok.body == b'ok'
+                pool.put_back(server=server, connection=taken.ok)
+            changed = await pool.take(
+                server=server, start_id='other', deadline=deadline
+            )
+            assert changed.error.kind is FailureKind.SERVER_CHANGED
+        finally:
+            await pool.close()
+            listener.close()
+
+    asyncio.run(main())
