Decide in one place how long to linger

Both interfaces kept the time of the last response and whether it announced the end. LastResponse holds both and computes the time to linger. The check of start ids in the pool is written as three alternatives.

--- a/src/teaselrock/coordination/connections.py
+++ b/src/teaselrock/coordination/connections.py
@@ -81,9 +81,8 @@
         if opened.is_error():
             return opened
         connection = opened.ok
-        if '' in (start_id, connection.load.start_id) or (
-            start_id == connection.load.start_id
-        ):
+        found = connection.load.start_id
+        if not start_id or not found or start_id == found:
             return Ok(connection)
         # The server has a new start id; the connection is kept for the slots
         # that the allocator grants for it next.
@@ -93,7 +92,7 @@
                 FailureKind.SERVER_CHANGED,
                 Verdict.DID_NOT_RUN,
                 f'{server.server_id} has restarted: start id '
-                f'{connection.load.start_id}, expected {start_id}',
+                f'{found}, expected {start_id}',
                 connection.load,
             )
         )
--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -30,9 +30,8 @@
 from teaselrock.transport.connection_table import ACCEPT_BATCH
 from teaselrock.transport.connection_table import ConnectionTable
 from teaselrock.transport.connection_table import DEFAULT_LIMIT
+from teaselrock.transport.lingering_close import LastResponse
 from teaselrock.transport.lingering_close import linger
-from teaselrock.transport.lingering_close import LINGER_S
-from teaselrock.transport.lingering_close import RECENT_RESPONSE_S
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
@@ -138,8 +137,7 @@
         # Whether no further request may start, since the last response has
         # begun or the connection was idle.
         self._is_ending = False
-        self._has_announced_end = False
-        self._response_written_at = float('-inf')
+        self._last_response = LastResponse()
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
         # The head or body that is being read, and the time that reading it
@@ -240,14 +238,10 @@
                     return
                 remaining_bytes -= len(data)
 
-        seconds = LINGER_S
-        if not self._has_announced_end:
-            now = asyncio.get_running_loop().time()
-            seconds = RECENT_RESPONSE_S - (now - self._response_written_at)
         await linger(
             self._writer.transport,
             discard_input=discard_input,
-            seconds=seconds,
+            seconds=self._last_response.linger_s,
         )
 
     def _end_reading(self) -> None:
@@ -433,7 +427,6 @@
     async def _write(
         self, response: CallerResponse, *, is_head: bool, closes: bool
     ) -> None:
-        self._has_announced_end = closes
         head = encode_head(response, is_head=is_head, closes=closes)
         parts = body_parts(b'' if is_head else response.body)
         try:
@@ -444,7 +437,7 @@
                 for part in parts:
                     self._writer.write(part)
                     await self._writer.drain()
-            self._response_written_at = asyncio.get_running_loop().time()
+            self._last_response.record(announces_end=closes)
         except (OSError, TimeoutError) as error:
             self._writer.transport.abort()
             # A future in `drain` and the traceback refer to each other, and
--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -34,8 +34,8 @@
 from teaselrock.transport.caller_reader import RECEIVE_BYTES
 from teaselrock.transport.connection_table import ConnectionTable
 from teaselrock.transport.connection_table import DEFAULT_LIMIT
+from teaselrock.transport.lingering_close import LastResponse
 from teaselrock.transport.lingering_close import LINGER_S
-from teaselrock.transport.lingering_close import RECENT_RESPONSE_S
 from teaselrock.transport.lingering_transport import LingeringTransport
 from teaselrock.transport.request_memory import HeldRequest
 from teaselrock.transport.request_memory import RequestMemory
@@ -111,14 +111,13 @@
         '_body',
         '_body_wire_bytes',
         '_buffer',
-        '_has_announced_end',
         '_has_received',
         '_held',
         '_is_reading_ahead',
+        '_last_response',
         '_lingering',
         '_observer',
         '_opened_at',
-        '_response_written_at',
         '_unread',
         '_unread_responses',
     )
@@ -144,8 +143,7 @@
         self._body_wire_bytes = 0
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
-        self._has_announced_end = False
-        self._response_written_at = float('-inf')
+        self._last_response = LastResponse()
         self._lingering: LingeringTransport | None = None
 
     def begin_body(self, body: StreamReader) -> None:
@@ -178,7 +176,7 @@
         """Called by the transport at the beginning."""
         stream = cast(asyncio.Transport, transport)
         self._lingering = LingeringTransport(
-            transport=stream, linger_s=self._linger_s
+            transport=stream, last_response=self._last_response
         )
         super().connection_made(cast(asyncio.Transport, self._lingering))
         self._unread = self._unread_responses.open(abort=stream.abort)
@@ -188,7 +186,6 @@
         self._held.release()
         if self._lingering is not None:
             self._lingering.stop_waiting()
-            # It refers to this connection.
             self._lingering = None
         if self._unread is not None:
             self._unread.close()
@@ -209,8 +206,7 @@
             self._unread.add(size)
         try:
             result = await super().finish_response(request, resp, start_time)
-            self._has_announced_end = not resp.keep_alive
-            self._response_written_at = asyncio.get_running_loop().time()
+            self._last_response.record(announces_end=not resp.keep_alive)
             return result
         finally:
             if self._unread is not None:
@@ -264,13 +260,6 @@
         if self._lingering is not None:
             await self._lingering.wait_closed()
 
-    def _linger_s(self) -> float:
-        """Seconds to linger after the caller has acknowledged everything."""
-        if self._has_announced_end:
-            return LINGER_S
-        now = asyncio.get_running_loop().time()
-        return RECENT_RESPONSE_S - (now - self._response_written_at)
-
     @property
     def expects_first_request(self) -> bool:
         """Whether the first request may still be on its way."""
--- a/src/teaselrock/transport/lingering_close.py
+++ b/src/teaselrock/transport/lingering_close.py
@@ -31,11 +31,35 @@
 _INT: Final = struct.Struct('i')
 
 
+class LastResponse:
+    """Last response on a connection, which decides how long to linger."""
+
+    def __init__(self) -> None:
+        self._announces_end = False
+        self._written_at = float('-inf')
+
+    @property
+    def linger_s(self) -> float:
+        """Seconds to linger after the caller has acknowledged everything.
+
+        Not positive if the connection may be closed at once.
+        """
+        if self._announces_end:
+            return LINGER_S
+        now = asyncio.get_running_loop().time()
+        return RECENT_RESPONSE_S - (now - self._written_at)
+
+    def record(self, *, announces_end: bool) -> None:
+        """A response was written; `announces_end` if it has said so."""
+        self._announces_end = announces_end
+        self._written_at = asyncio.get_running_loop().time()
+
+
 async def linger(
     transport: asyncio.WriteTransport,
     *,
     discard_input: Callable[[], Awaitable[None]],
-    seconds: float = LINGER_S,
+    seconds: float,
 ) -> None:
     """Shut down sending, and wait until the connection may be closed.
 
--- a/src/teaselrock/transport/lingering_transport.py
+++ b/src/teaselrock/transport/lingering_transport.py
@@ -1,10 +1,10 @@
 """Transport whose `close` is a lingering close, for protocols of a library."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 from typing import Final
 
+from teaselrock.transport.lingering_close import LastResponse
 from teaselrock.transport.lingering_close import linger
 
 # Input that is discarded after `close`.
@@ -20,10 +20,10 @@
     """
 
     def __init__(
-        self, *, transport: asyncio.Transport, linger_s: Callable[[], float]
+        self, *, transport: asyncio.Transport, last_response: LastResponse
     ) -> None:
         self._transport = transport
-        self._linger_s = linger_s
+        self._last_response = last_response
         self._discarded_bytes = 0
         # Set from `close` on.
         self._may_close: asyncio.Event | None = None
@@ -73,7 +73,7 @@
             await linger(
                 self._transport,
                 discard_input=wait_until_closable,
-                seconds=self._linger_s(),
+                seconds=self._last_response.linger_s,
             )
         finally:
             self._transport.close()
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -11,8 +11,6 @@
 import pytest
 
 from teaselrock.state.routes import CallerLimits
-from teaselrock.transport import caller_connection
-from teaselrock.transport import caller_server
 from teaselrock.transport import lingering_close
 from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
@@ -298,8 +296,7 @@
     reads: bool,
 ) -> None:
     """Guards against stops that wait for callers that never close."""
-    monkeypatch.setattr(caller_connection, 'LINGER_S', 0.05)
-    monkeypatch.setattr(caller_server, 'LINGER_S', 0.05)
+    monkeypatch.setattr(lingering_close, 'LINGER_S', 0.05)
     monkeypatch.setattr(lingering_close, 'MAX_LINGER_S', 0.3)
 
     async def scenario(world: World) -> None:
