Linger for as long as the caller acknowledges something

A caller on a slow link that reads steadily could need more than 10 s for what it had not acknowledged, and then lost it if a request of it was on its way. The limit is now one on the time without progress. A connection that ends by it is aborted; before, data that the kernel had not taken kept it open without a place in the table of connections.

--- a/src/teaselrock/transport/caller_server.py
+++ b/src/teaselrock/transport/caller_server.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import socket
 from typing import Any
 from typing import cast
@@ -391,12 +392,15 @@
     async def shutdown(self, timeout: float | None = None) -> None:
         """Wait for the requests in progress, then close connections.
 
-        Returns when callers have read their last responses, or had the time.
+        Callers that read their last responses slowly have as much time again.
         """
         connections = tuple(self._table)
-        await super().shutdown(self._shutdown_timeout_s or timeout)
-        for connection in connections:
-            await connection.wait_closed()
+        limit = self._shutdown_timeout_s or timeout
+        await super().shutdown(limit)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit):
+                for connection in connections:
+                    await connection.wait_closed()
 
     def __call__(self) -> RequestHandler:
         """Create the protocol of a new connection."""
--- a/src/teaselrock/transport/lingering_close.py
+++ b/src/teaselrock/transport/lingering_close.py
@@ -24,8 +24,8 @@
 # A connection whose last response is older than this is closed at once if the
 # caller has acknowledged it.
 RECENT_RESPONSE_S: Final = 0.5
-# A caller that does not acknowledge the responses within this time loses them.
-MAX_LINGER_S: Final = 10.0
+# A caller that acknowledges nothing for this time loses the responses.
+MAX_SILENCE_S: Final = 10.0
 # Interval at which the acknowledgement is looked for.
 _POLL_S: Final = 0.1
 _INT: Final = struct.Struct('i')
@@ -65,18 +65,20 @@
 
     `discard_input` returns when the caller has closed or has sent too much;
     it may be cancelled and called again. The wait ends `seconds` after
-    everything was acknowledged, and `MAX_LINGER_S` after the call at the
-    latest. Raises `OSError` if `discard_input` does.
+    everything was acknowledged. If nothing more is acknowledged for
+    `MAX_SILENCE_S`, the transport is aborted. Raises `OSError` if
+    `discard_input` does.
     """
     loop = asyncio.get_running_loop()
-    ends_at = loop.time() + MAX_LINGER_S
-    is_acknowledged = False
+    ends_at = loop.time() + MAX_SILENCE_S
+    remaining = _unacknowledged_bytes(transport)
+    if remaining == 0:
+        ends_at = loop.time() + seconds
     while True:
         now = loop.time()
-        if not is_acknowledged and not _has_unacknowledged_data(transport):
-            is_acknowledged = True
-            ends_at = min(ends_at, now + seconds)
         if now >= ends_at:
+            if remaining > 0:
+                transport.abort()
             return
         # Has an effect only the first time.
         transport.write_eof()
@@ -85,23 +87,26 @@
                 await discard_input()
                 return
         except TimeoutError:
-            continue
+            before, remaining = remaining, _unacknowledged_bytes(transport)
+            if remaining < before:
+                ends_at = loop.time() + (
+                    MAX_SILENCE_S if remaining > 0 else seconds
+                )
 
 
-def _has_unacknowledged_data(transport: asyncio.WriteTransport) -> bool:
-    """Whether the caller's system has not acknowledged all data and the end.
+def _unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Bytes that the caller's system has not acknowledged.
 
-    False if the system does not tell.
+    The end counts as one. 0 for those in the kernel if it does not tell.
     """
-    if transport.get_write_buffer_size() > 0:
-        return True
+    buffered = transport.get_write_buffer_size()
     connected: socket.socket | None = transport.get_extra_info('socket')
     if connected is None or connected.fileno() < 0:
-        return False
+        return buffered
     try:
         answer = fcntl.ioctl(
             connected.fileno(), termios.TIOCOUTQ, bytes(_INT.size)
         )
     except OSError:
-        return False
-    return bool(_INT.unpack(answer)[0] > 0)
+        return buffered
+    return buffered + int(_INT.unpack(answer)[0])
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -527,7 +527,7 @@
     The time limit does not end the connection here.
     """
     monkeypatch.setattr(lingering_close, 'LINGER_S', 60.0)
-    monkeypatch.setattr(lingering_close, 'MAX_LINGER_S', 60.0)
+    monkeypatch.setattr(lingering_close, 'MAX_SILENCE_S', 60.0)
     block = b'x' * caller_connection.MIN_LINGER_BYTES
 
     async def scenario(
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -30,6 +30,11 @@
 WINDOW_BYTES = 4096
 # More than the window, and less than asyncio keeps in the process.
 BODY_BYTES = 60_000
+# Together they take longer than callers may be silent in their test, and
+# leave most of a response unread.
+SLOW_READS = 25
+SLOW_READ_BYTES = 1024
+SLOW_READ_PAUSE_S = 0.1
 # More than the buffers of a loopback connection take.
 LARGE_BODY_BYTES = 15_000_000
 # For what the gateway does without a sign to the caller.
@@ -263,6 +268,32 @@
     _run(case.make_interface, scenario)
 
 
+@pytest.mark.parametrize('make_interface', INTERFACES)
+def test_slow_but_steady_caller_gets_the_response(
+    monkeypatch: pytest.MonkeyPatch, make_interface: MakeInterface
+) -> None:
+    """Guards against a time limit that cuts callers on slow links.
+
+    They read for longer than callers may be silent, and send a request then.
+    """
+    monkeypatch.setattr(lingering_close, 'MAX_SILENCE_S', 2.0)
+
+    async def scenario(world: World) -> None:
+        loop = asyncio.get_running_loop()
+        world.handler.on_request = world.interface.begin_close
+        await world.send(PLANNED_STOP.request)
+        received = bytearray()
+        for _ in range(SLOW_READS):
+            received += await loop.sock_recv(world.caller, SLOW_READ_BYTES)
+            await asyncio.sleep(SLOW_READ_PAUSE_S)
+        await world.send(AFTER)
+        await asyncio.sleep(SETTLE_S)
+        received += await world.receive()
+        assert received.endswith(b'\r\n\r\n' + b'x' * BODY_BYTES)
+
+    _run(make_interface, scenario)
+
+
 @pytest.mark.parametrize('make_interface', INTERFACES)
 def test_no_request_starts_behind_the_last_response(
     make_interface: MakeInterface,
@@ -297,7 +328,7 @@
 ) -> None:
     """Guards against stops that wait for callers that never close."""
     monkeypatch.setattr(lingering_close, 'LINGER_S', 0.05)
-    monkeypatch.setattr(lingering_close, 'MAX_LINGER_S', 0.3)
+    monkeypatch.setattr(lingering_close, 'MAX_SILENCE_S', 0.3)
 
     async def scenario(world: World) -> None:
         world.handler.on_request = world.interface.begin_close
