End connections with requests ahead early in a stop

A caller that always has several requests unanswered kept its connection through a planned stop; such a connection ended only when a single request was left, or by being aborted with the grace period.

Cause: the response that is the only one pending ends the connection, and requests that came after the start of the stop were started all the same.

Change: they are not started while a response is pending whose head is not written yet, so that the last pending response ends the connection. Callers send them again.

test_stop_ends_a_connection_that_always_has_requests_pending fails without the change.

--- a/src/teaselrock/transport/caller_connection.py
+++ b/src/teaselrock/transport/caller_connection.py
@@ -137,6 +137,8 @@
         # Whether no further request may start, since the last response has
         # begun or the connection was idle.
         self._is_ending = False
+        # Whether the first pending response is being written.
+        self._is_writing = False
         self._last_response = LastResponse()
         self._opened_at = asyncio.get_running_loop().time()
         self._has_received = False
@@ -157,8 +159,15 @@
 
     @property
     def _may_continue(self) -> bool:
-        """Whether further requests may start."""
-        return not self._is_ending and not self._writer.is_closing()
+        """Whether further requests may start.
+
+        At a stop the last pending response ends the connection, unless it is
+        already being written and did not say so.
+        """
+        if self._is_ending or self._writer.is_closing():
+            return False
+        unwritten = len(self._pending) - self._is_writing
+        return not (self._is_closing() and unwritten > 0)
 
     @property
     def _age(self) -> float:
@@ -415,10 +424,12 @@
             self._is_closing() and len(self._pending) == 1
         )
         self._is_ending = self._is_ending or closes
+        self._is_writing = True
         try:
             await self._write(response, is_head=pending.is_head, closes=closes)
         finally:
             self._response_written.set()
+        self._is_writing = False
         self._pending.popleft()
         if not self._pending:
             self._table.end_service(self)
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -209,6 +209,54 @@
     _run(scenario)
 
 
+def test_stop_ends_a_connection_that_always_has_requests_pending() -> None:
+    """Guards against stops that end such connections only by aborting them.
+
+    Requests that come after the stop has begun are left to be sent again.
+    """
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        client.send('/wait/1', '/wait/2')
+        await _until(lambda: len(handler.started) == 2)
+        listener.begin_close()
+        client.send('/3', '/4')
+        await asyncio.sleep(0.1)
+        client.send('/5', method='POST')
+        handler.release.set()
+        assert await client.read_response() == (200, b'/wait/1', False)
+        assert await client.read_response() == (200, b'/wait/2', True)
+        assert await client.reader.read() == b''
+        assert handler.started == ['/wait/1', '/wait/2']
+
+    _run(scenario)
+
+
+def test_stop_answers_what_follows_a_response_that_did_not_end() -> None:
+    """Guards against requests that a stop leaves without any response.
+
+    The stop begins while a response is written that keeps the connection.
+    """
+
+    async def scenario(
+        handler: Handler, listener: CallerListener, client: Client
+    ) -> None:
+        handler.padding = b'x' * 20_000_000
+        client.send('/large')
+        await _until(lambda: handler.started == ['/large'])
+        await asyncio.sleep(0.1)
+        listener.begin_close()
+        handler.padding = b''
+        client.send('/next')
+        await _until(lambda: len(handler.started) == 2)
+        status, _, closes = await client.read_response()
+        assert (status, closes) == (200, False)
+        assert await client.read_response() == (200, b'/next', True)
+
+    _run(scenario)
+
+
 def test_stop_closes_idle_connections() -> None:
     """Guards against a stop that waits for callers that send nothing."""
 
