--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -41,7 +41,7 @@
 from teaselrock.state.configuration import Document
 from teaselrock.state.configuration import empty_document
 from teaselrock.transport.backend import HttpConnector
-from teaselrock.transport.caller_connection import CallerListener
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.connection_table import connection_limit
 from teaselrock.transport.operators_listener import make_operators_listener
 from teaselrock.transport.operators_pages import OperatorsSource
--- a/src/teaselrock/transport/lingering_close.py
+++ b/src/teaselrock/transport/lingering_close.py
@@ -26,7 +26,7 @@
 RECENT_RESPONSE_S: Final = 0.5
 # A caller that acknowledges nothing for this time loses the responses.
 MAX_SILENCE_S: Final = 10.0
-# Interval at which the acknowledgement is looked for.
+# Interval between two looks at what is acknowledged.
 _POLL_S: Final = 0.1
 _INT: Final = struct.Struct('i')
 
@@ -50,7 +50,7 @@
         return RECENT_RESPONSE_S - (now - self._written_at)
 
     def record(self, *, announces_end: bool) -> None:
-        """A response was written; `announces_end` if it has said so."""
+        """Record a written response; `announces_end` if it was the last."""
         self._announces_end = announces_end
         self._written_at = asyncio.get_running_loop().time()
 
--- a/src/teaselrock/transport/operators_listener.py
+++ b/src/teaselrock/transport/operators_listener.py
@@ -8,8 +8,8 @@
 from typing import Final
 
 from teaselrock.state.routes import CallerLimits
-from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.operators_pages import OperatorsSource
 from teaselrock.transport.operators_pages import page
 from teaselrock.transport.operators_pages import READY_PATH
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -12,10 +12,10 @@
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport import caller_connection
 from teaselrock.transport import lingering_close
-from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
 from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
 from teaselrock.transport.caller_limits import SMALL_CHUNKS_READ_BYTES
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.request_parser import RequestParser
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -12,8 +12,8 @@
 
 from teaselrock.state.routes import CallerLimits
 from teaselrock.transport import lingering_close
-from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.caller_server import CallerServer
 from teaselrock.transport.caller_server import LargeBody
 from teaselrock.transport.request_parser import CallerRequest
--- a/tests/transport/test_request_memory.py
+++ b/tests/transport/test_request_memory.py
@@ -12,9 +12,9 @@
 import pytest
 
 from teaselrock.state.routes import CallerLimits
-from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
 from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.request_memory import MAX_SMALL_BYTES
 from teaselrock.transport.request_memory import RequestMemory
 from teaselrock.transport.request_parser import CallerRequest
--- a/tests/transport/test_unread_responses.py
+++ b/tests/transport/test_unread_responses.py
@@ -11,10 +11,10 @@
 import pytest
 
 from teaselrock.state.routes import CallerLimits
-from teaselrock.transport.caller_connection import CallerListener
 from teaselrock.transport.caller_connection import CallerResponse
 from teaselrock.transport.caller_connection import MAX_PIPELINED_REQUESTS
 from teaselrock.transport.caller_limits import CallerLimit
+from teaselrock.transport.caller_listener import CallerListener
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 from teaselrock.transport.unread_responses import MEMORY_SHARE
