Log and count what decided a rejected request

A request that got 404 had a line with its id and one sentence. It did not tell whether the routing table was old, came from another instance or did not match the request, and a request that could not be parsed had no line at all.

request-rejected names host, first path segment, the number of routes of the host, the version in force, its age and its source; routes-in-force names the number of routes and the source. teaselrock_rejected_requests_total counts them by status.

tests/platform/test_explained_requests.py covers a removed route and a malformed request.

--- a/src/teaselrock/cli/explain.py
+++ b/src/teaselrock/cli/explain.py
@@ -33,7 +33,7 @@
 MAX_SERVERS: Final = 10_000
 
 _REQUEST_EVENTS: Final = frozenset(
-    {Event.REQUEST_ENDED, Event.REQUEST_REFUSED}
+    {Event.REQUEST_ENDED, Event.REQUEST_REFUSED, Event.REQUEST_REJECTED}
 )
 _SERVER_EVENTS: Final = frozenset(
     {Event.SERVER_REGISTERED, Event.SERVER_DRAINS, Event.SERVER_GONE}
@@ -226,6 +226,14 @@
     yield f'  verdict: {verdict}'
     if fields.get('code'):
         yield f'  refused: {fields["code"]}: {fields.get("detail", "")}'
+    if 'status' in fields:
+        yield (
+            f'  status {fields["status"]}: {fields.get("detail", "")}; host '
+            f'{fields.get("host")}, prefix {fields.get("prefix")}, '
+            f'{fields.get("host_routes")} routes of this host in version '
+            f'{fields.get("version")}, from {fields.get("source")}, in force '
+            f'for {fields.get("table_age_s")} s'
+        )
     if 'ms' in fields:
         yield (
             f'  took {fields["ms"]} ms, {fields.get("left_ms")} ms were left '
--- a/src/teaselrock/coordination/events.py
+++ b/src/teaselrock/coordination/events.py
@@ -63,6 +63,7 @@
     FAILED_WRITER_FLUSHED = 1603
     REQUEST_ENDED = 1700
     REQUEST_REFUSED = 1701
+    REQUEST_REJECTED = 1702
 
 
 class Events(Protocol):
@@ -71,7 +72,8 @@
     def emit(self, *, event: Event, **fields: str | int | float) -> None:
         """Record an event; never blocks, never raises.
 
-        Fields contain no path, key or content of a request.
+        Fields contain no key and no content of a request, and of its path at
+        most the first segment.
         """
         ...
 
--- a/src/teaselrock/coordination/registry/matching.py
+++ b/src/teaselrock/coordination/registry/matching.py
@@ -36,6 +36,10 @@
             service, route.priority
         )
 
+    def count_of_host(self, host: str) -> int:
+        """Number of routes of a host, whose port is ignored."""
+        return len(self._routes_by_host.get(_host_name(host), _NO_ROUTES))
+
     def match(self, *, host: str, target: str) -> Route | None:
         """Route with the longest prefix of the target's path.
 
--- a/src/teaselrock/coordination/registry/mirror.py
+++ b/src/teaselrock/coordination/registry/mirror.py
@@ -21,16 +21,20 @@
 MAX_KEPT_CHANGES: Final = 64
 # Position before the first listing, and `after` of a full snapshot.
 NO_POSITION: Final = StorePosition(-1, -1)
+# Source of the changes that this instance reads from the store itself.
+STORE_SOURCE: Final = 'store'
 
 
 class Change(NamedTuple, Generic[T]):
     """Change from position `after` to that of the listing.
 
-    With `after` at `NO_POSITION` the listing is a full snapshot.
+    With `after` at `NO_POSITION` the listing is a full snapshot. `source` is
+    the store or the id of the instance that relayed the change.
     """
 
     after: StorePosition
     listing: ObjectListing[T]
+    source: str = STORE_SOURCE
 
     @property
     def is_snapshot(self) -> bool:
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -276,7 +276,9 @@
                 elif isinstance(
                     message, (TablesChanged, ServersChanged, ZonesChanged)
                 ):
-                    missing = self._changes.receive(message)
+                    missing = self._changes.receive(
+                        message, source=entry.instance_id
+                    )
                     if missing is not None:
                         self._request_changes(channel, missing)
         finally:
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -47,8 +47,10 @@
         _send(channel, sync.servers, positions.servers, ServersChanged)
         _send(channel, sync.zones_out, positions.zones_out, ZonesChanged)
 
-    def receive(self, message: ChangeMessage) -> MirrorPositions | None:
-        """Apply a change.
+    def receive(
+        self, message: ChangeMessage, *, source: str
+    ) -> MirrorPositions | None:
+        """Apply a change that the instance `source` sent.
 
         If that is not possible, the result is the positions after which
         changes have to be requested: those of the mirrors if an earlier
@@ -59,11 +61,11 @@
         if not _has_order(message):
             return self._positions_without(message)
         if isinstance(message, TablesChanged):
-            applied = self._sync.tables.apply(_decode(message))
+            applied = self._sync.tables.apply(_decode(message, source))
         elif isinstance(message, ServersChanged):
-            applied = self._sync.servers.apply(_decode(message))
+            applied = self._sync.servers.apply(_decode(message, source))
         else:
-            applied = self._sync.zones_out.apply(_decode(message))
+            applied = self._sync.zones_out.apply(_decode(message, source))
         return None if applied else self.positions
 
     def _positions_without(self, message: ChangeMessage) -> MirrorPositions:
@@ -103,7 +105,7 @@
         )
 
 
-def _decode(message: ChangeMessage) -> Change[Any]:
+def _decode(message: ChangeMessage, source: str) -> Change[Any]:
     kept: list[ObjectEntry[Any]] = [
         ObjectEntry(name, value)
         for name, value in zip(message.names, message.values)
@@ -112,5 +114,7 @@
         ObjectEntry(name, None, True) for name in message.deleted
     ]
     return Change(
-        message.after, ObjectListing((*kept, *deleted), message.position)
+        message.after,
+        ObjectListing((*kept, *deleted), message.position),
+        source,
     )
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -20,6 +20,7 @@
 from teaselrock.coordination.registry.precedence import newer_server
 from teaselrock.coordination.registry.precedence import newer_table
 from teaselrock.coordination.registry.view import InstallationView
+from teaselrock.coordination.registry.view import TableOrigin
 from teaselrock.coordination.registry.watch import StoreConnectivity
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
@@ -124,10 +125,16 @@
         self._observe_era(change)
         for entry in change.listing.entries:
             if entry.value is not None and self._view.put_table_in_force(
-                entry.value
+                entry.value,
+                origin=TableOrigin(
+                    change.source, asyncio.get_running_loop().time()
+                ),
             ):
                 self._events.emit(
-                    event=Event.ROUTES_IN_FORCE, version=entry.value.version
+                    event=Event.ROUTES_IN_FORCE,
+                    version=entry.value.version,
+                    routes=len(entry.value.routes),
+                    source=change.source,
                 )
 
     def _apply_servers(self, change: Change[BackendServer]) -> None:
--- a/src/teaselrock/coordination/registry/view.py
+++ b/src/teaselrock/coordination/registry/view.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from teaselrock.coordination.registry.matching import RouteIndex
 from teaselrock.state import BackendServer
@@ -14,6 +15,17 @@
 from teaselrock.state.routes import RoutingTable
 
 
+class TableOrigin(NamedTuple):
+    """Where an instance has its routing table from.
+
+    `source` is the store or the id of an instance, '' if there is no table;
+    `in_force_since` is on the loop's clock.
+    """
+
+    source: str = ''
+    in_force_since: float = 0.0
+
+
 class InstallationView:
     """Routes and servers of this instance; implements `Readiness`.
 
@@ -24,6 +36,7 @@
     def __init__(self) -> None:
         self._table = EMPTY_TABLE
         self._index = RouteIndex(table=EMPTY_TABLE)
+        self._table_origin = TableOrigin()
         self._servers: dict[str, BackendServer] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._in_service_cache: dict[str, tuple[BackendServer, ...]] | None = (
@@ -39,6 +52,11 @@
         """The routing table in force; version 0 if there is none."""
         return self._table
 
+    @property
+    def table_origin(self) -> TableOrigin:
+        """Source of the routing table in force, and since when it is."""
+        return self._table_origin
+
     @property
     def index(self) -> RouteIndex:
         """Index of the routing table in force."""
@@ -109,12 +127,15 @@
             and registered.zone.name not in self._zones_out
         )
 
-    def put_table_in_force(self, table: RoutingTable) -> bool:
+    def put_table_in_force(
+        self, table: RoutingTable, *, origin: TableOrigin = TableOrigin()
+    ) -> bool:
         """Put a newer table in force; False if the version is not newer."""
         if table.version <= self._table.version:
             return False
         self._table = table
         self._index = RouteIndex(table=table)
+        self._table_origin = origin
         self._set_if_complete()
         return True
 
--- a/src/teaselrock/daemon/logs.py
+++ b/src/teaselrock/daemon/logs.py
@@ -30,6 +30,7 @@
 MAX_LINES_PER_INTERVAL: Final[dict[Event, int]] = {
     Event.REQUEST_ENDED: 200,
     Event.REQUEST_REFUSED: 100,
+    Event.REQUEST_REJECTED: 20,
     Event.CALLER_LIMITED: 20,
     Event.ROUTES_IN_FORCE: 20,
     Event.ZONES_OUT: 20,
@@ -74,6 +75,7 @@
         Event.CHECK_FAILED,
         Event.STORE_RESTORED,
         Event.RELAY_FAILED,
+        Event.REQUEST_REJECTED,
     ),
     logging.WARNING,
 )
--- a/src/teaselrock/daemon/metrics.py
+++ b/src/teaselrock/daemon/metrics.py
@@ -115,6 +115,12 @@
             ('limit',),
             registry=self._registry,
         )
+        self._rejections = Counter(
+            'teaselrock_rejected_requests',
+            'Requests that the gateway itself rejected with a 4xx status.',
+            ('status',),
+            registry=self._registry,
+        )
         self._dropped_log_lines = Counter(
             'teaselrock_log_lines_dropped',
             'Log lines dropped because the writer was too slow.',
@@ -212,6 +218,10 @@
         """Count a request or connection that met a limit."""
         self._caller_limits.labels(limit.value).inc()
 
+    def on_rejection(self, status: int) -> None:
+        """Count a request that was rejected with a 4xx status."""
+        self._rejections.labels(str(status)).inc()
+
     def on_invalid_frame(self) -> None:
         """Count a dropped frame of a peer."""
         self._invalid_frames.inc()
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -30,6 +30,7 @@
 from teaselrock.daemon.caller_limit_log import CallerLimitLog
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
+from teaselrock.daemon.rejection_log import RejectionLog
 from teaselrock.daemon.routed_metrics import RoutedCollector
 from teaselrock.platform import documents
 from teaselrock.platform import headers
@@ -152,6 +153,9 @@
                 shares=RouteShares(rng=random.Random()),
                 dialect=headers.PlatformCallerDialect(),
                 observer=self._metrics,
+                rejection_observer=RejectionLog(
+                    events=self._events, metrics=self._metrics
+                ),
             ),
             memory=request_memory,
             unread_responses=unread_responses,
--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -32,6 +32,11 @@
 from teaselrock.state.routes import CallerLimits
 from teaselrock.state.routes import Route
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.rejections import first_segment
+from teaselrock.transport.rejections import MAX_LOGGED_CHARS
+from teaselrock.transport.rejections import NoRejections
+from teaselrock.transport.rejections import Rejection
+from teaselrock.transport.rejections import RejectionObserver
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 
@@ -90,12 +95,14 @@
         shares: RouteShares,
         dialect: CallerDialect,
         observer: RequestObserver = NoEvents(),
+        rejection_observer: RejectionObserver = NoRejections(),
     ) -> None:
         self._dispatcher = dispatcher
         self._view = view
         self._shares = shares
         self._dialect = dialect
         self._observer = observer
+        self._rejection_observer = rejection_observer
 
     @property
     def limits(self) -> CallerLimits:
@@ -130,10 +137,7 @@
             if parsed.is_ok():
                 result = await self._dispatcher.dispatch(request=parsed.ok)
             else:
-                result = self._dispatcher.refuse(
-                    request=_unrouted_request(request, caller_fields),
-                    refusal=parsed.error,
-                )
+                result = self._refuse(request, caller_fields, parsed.error)
             verdict, code = _outcome(result)
         finally:
             self._observer.on_request(
@@ -152,6 +156,8 @@
 
     def error_response(self, error: RequestError) -> CallerResponse:
         """Response to a request that could not be parsed."""
+        if error.status != _DID_NOT_RUN_STATUS:
+            self._report_rejection(error.status, str(error))
         headers = [('Content-Type', 'text/plain; charset=utf-8')]
         if error.status == _DID_NOT_RUN_STATUS:
             headers.append(('Retry-After', f'{RETRY_AFTER_S:.2f}'))
@@ -200,6 +206,53 @@
             )
         )
 
+    def _refuse(
+        self,
+        http_request: CallerRequest,
+        caller_fields: CallerFields,
+        refusal: Refusal,
+    ) -> Result[BackendResponse, Refusal]:
+        """Report a request that is refused before it has a route."""
+        status = _http_status(refusal)
+        if status != _DID_NOT_RUN_STATUS:
+            self._report_rejection(
+                status,
+                refusal.detail,
+                request=http_request,
+                request_id=caller_fields.request_id,
+            )
+        return self._dispatcher.refuse(
+            request=_unrouted_request(http_request, caller_fields),
+            refusal=refusal,
+        )
+
+    def _report_rejection(
+        self,
+        status: int,
+        detail: str,
+        *,
+        request: CallerRequest | None = None,
+        request_id: str = '',
+    ) -> None:
+        host = target = ''
+        if request is not None:
+            host, target = request.field('host') or '', request.target
+        origin = self._view.table_origin
+        now = asyncio.get_running_loop().time()
+        self._rejection_observer.on_rejection(
+            rejection=Rejection(
+                status=status,
+                detail=detail,
+                request_id=request_id,
+                host=host[:MAX_LOGGED_CHARS],
+                prefix=first_segment(target),
+                host_routes=self._view.index.count_of_host(host),
+                version=self._view.table.version,
+                table_age=now - origin.in_force_since,
+                source=origin.source,
+            )
+        )
+
     def _refusal_response(
         self, refusal: Refusal, request_id: str
     ) -> CallerResponse:
--- a/tests/platform/test_explained_requests.py
+++ b/tests/platform/test_explained_requests.py
@@ -119,7 +119,15 @@
             while (await world.send_request('/b/1'))[0] != 404:
                 await asyncio.sleep(0.05)
 
-    request = explain(scenario)[-1]
+    rejection, request = explain(scenario)[-2:]
+    assert rejection['event'] == 'request-rejected'
+    fields = rejection['fields']
+    assert fields['status'] == 404
+    assert (fields['host'], fields['prefix']) == ('a.example', '/b/')
+    # One route is left, of the host that the request names.
+    assert (fields['version'], fields['host_routes']) == (12, 1)
+    assert fields['source'] == 'store'
+    assert 0 <= fields['table_age_s'] < 60
     assert request['event'] == 'request-refused'
     assert request['fields']['code'] == 'unknown-service'
     (version,) = (
@@ -128,3 +136,23 @@
         if line['event'] == 'routes-in-force'
     )
     assert version == 12
+
+
+def test_malformed_request_is_logged(
+    run: Run, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a request that is rejected without a log line."""
+
+    async def scenario(world: World) -> None:
+        reader, writer = await world.open_connection()
+        writer.write(b'GET /x/1 HTTP/1.1\r\nbroken\r\n\r\n')
+        assert (await reader.read(-1)).startswith(b'HTTP/1.1 400 ')
+        writer.close()
+
+    run(scenario)
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    (rejection,) = (
+        line for line in lines if line['event'] == 'request-rejected'
+    )
+    assert (rejection['status'], rejection['version']) == (400, 10)
+    assert rejection['detail'] == 'malformed HTTP request'
