--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -28,6 +28,7 @@
 from teaselrock.coordination.registry.watch import POLL_WAIT_S
 from teaselrock.coordination.registry.watch import SHORT_POLL_WAIT_S
 from teaselrock.protocol import MessageCodec
+from teaselrock.protocol.relay_messages import MAX_RELAY_BYTES
 from teaselrock.protocol.relay_messages import RELAY_KINDS
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
@@ -39,7 +40,7 @@
 ZONE = AvailabilityZone('east', 'east-a')
 LINK_DELAY_S = 0.001
 STORE_CALL_S = 0.004
-CODEC = MessageCodec(kinds=RELAY_KINDS)
+CODEC = MessageCodec(kinds=RELAY_KINDS, max_bytes=MAX_RELAY_BYTES)
 
 
 def backend_server(
@@ -182,7 +183,9 @@
 class MemoryChannel:
     """`RelayChannel` in memory; messages pass through the codec."""
 
-    def __init__(self) -> None:
+    def __init__(self, link: 'MemoryRelayLink') -> None:
+        self.link = link
+        self.sent_until = 0.0
         self.inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.peer_end: MemoryChannel | None = None
         self.is_closed = False
@@ -194,11 +197,18 @@
         if not self.is_cut:
             loop = asyncio.get_running_loop()
             frame = CODEC.encode(message)
-            loop.call_later(
-                LINK_DELAY_S, self.peer_end.inbox.put_nowait, frame
+            self.sent_until = self.link.transmit(len(frame))
+            loop.call_at(
+                self.sent_until + LINK_DELAY_S,
+                self.peer_end.inbox.put_nowait,
+                frame,
             )
         return True
 
+    async def drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self.sent_until - loop.time()))
+
     async def receive(self) -> Any:
         frame = await self.inbox.get()
         if frame is None:
@@ -219,11 +229,18 @@
 
 
 class MemoryRelayLink:
-    """`RelayLink` of one instance in memory."""
+    """`RelayLink` of one instance in memory.
+
+    All its channels share `bytes_per_s` in the order of their messages.
+    """
+
+    bytes_per_s = float('inf')
 
     def __init__(self, region: 'Region', address: str) -> None:
         self.region = region
         self.address = address
+        self.idle_at = 0.0
+        self.sent_bytes = 0
         self.channels: list[MemoryChannel] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -233,14 +250,21 @@
         if listener is None:
             return None
         self.region.connections.append((self.address, address))
-        here, there = MemoryChannel(), MemoryChannel()
+        link, on_channel = listener
+        here, there = MemoryChannel(self), MemoryChannel(link)
         here.peer_end, there.peer_end = there, here
         self.channels.append(here)
-        link, on_channel = listener
         link.channels.append(there)
         link.tasks.append(asyncio.ensure_future(on_channel(there)))
         return here
 
+    def transmit(self, size: int) -> float:
+        """Time on the loop's clock at which a message has been sent."""
+        self.sent_bytes += size
+        now = asyncio.get_running_loop().time()
+        self.idle_at = max(self.idle_at, now) + size / self.bytes_per_s
+        return self.idle_at
+
     async def serve(self, *, on_channel: OnChannel) -> None:
         self.region.listeners[self.address] = (self, on_channel)
 
--- /dev/null
+++ b/tests/registry/test_large_tables.py
@@ -0,0 +1,140 @@
+"""Relay of routing tables whose size matters for the links of instances."""
+
+import asyncio
+import random
+import string
+from typing import Final
+
+from registry_world import Region
+from registry_world import routing_table
+
+from teaselrock.standins.clock import run_paused
+from teaselrock.state.routes import Route
+from teaselrock.state.routes import RoutingTable
+from teaselrock.state.routes import ServiceShare
+
+# 10 Mbit/s, the slowest link of the deployments with so many instances.
+LINK_BYTES_PER_S: Final = 1_250_000.0
+INSTANCES: Final = 48
+ADDED_ROUTES: Final = 1400
+# A version must be in force this long after it was accepted.
+IN_FORCE_S: Final = 2.0
+# An instance that starts must have caught up within this time.
+CATCH_UP_S: Final = 4.0
+
+
+class Tables:
+    """Successive versions, with names as long as those of real routes."""
+
+    def __init__(self) -> None:
+        self.rng = random.Random(43)
+        self.current = routing_table(1)
+
+    def name(self) -> str:
+        letters = string.ascii_lowercase + string.digits
+        return ''.join(self.rng.choices(letters, k=8))
+
+    def add_routes(self, count: int) -> RoutingTable:
+        template = self.current.routes[0]
+        added = tuple(
+            template._replace(
+                name=f'r-{self.name()}', prefix=f'/{self.name()}/'
+            )
+            for _ in range(count)
+        )
+        return self.with_routes((*self.current.routes, *added))
+
+    def change_weights(self) -> RoutingTable:
+        shares = (
+            ServiceShare('desk', self.rng.random()),
+            ServiceShare('other', 1.0),
+        )
+        first, *others = self.current.routes
+        return self.with_routes((first._replace(shares=shares), *others))
+
+    def with_routes(self, routes: tuple[Route, ...]) -> RoutingTable:
+        self.current = self.current._replace(
+            version=self.current.version + 1, routes=routes
+        )
+        return self.current
+
+
+async def start_region(count: int = INSTANCES) -> Region:
+    region = Region(count)
+    await region.start()
+    for member in region.members:
+        member.link.bytes_per_s = LINK_BYTES_PER_S
+    return region
+
+
+async def assert_in_force(region: Region, table: RoutingTable) -> None:
+    """Wait `IN_FORCE_S`; a single instance must watch the store meanwhile."""
+    region.sources[0].put('main', table)
+    for _ in range(20):
+        await asyncio.sleep(IN_FORCE_S / 20)
+        assert len(region.watchers()) == 1
+    assert {member.view.table for member in region.members} == {table}
+
+
+def test_large_change_is_in_force_in_time() -> None:
+    """Guards against a change that fills the link of the watching instance.
+
+    Its heartbeats waited behind the table, so that other ranks took over and
+    sent the table as well, and the last instance had it 8 s later.
+    """
+
+    async def main() -> None:
+        region = await start_region()
+        tables = Tables()
+        for _ in range(3):
+            await assert_in_force(region, tables.add_routes(ADDED_ROUTES))
+            await assert_in_force(region, tables.change_weights())
+
+    run_paused(main())
+
+
+def test_zone_that_returns_gets_a_large_table_in_time() -> None:
+    """Guards against starting instances that wait for a large table.
+
+    A third of the region starts at once, and a change comes meanwhile.
+    """
+
+    async def main() -> None:
+        region = await start_region()
+        tables = Tables()
+        await assert_in_force(region, tables.add_routes(3 * ADDED_ROUTES))
+        roster = [member.registration for member in region.members]
+        watchers = region.watchers()
+        returning = [
+            member for member in region.members if member not in watchers
+        ][: INSTANCES // 3]
+        for member in returning:
+            await region.kill(member)
+        await asyncio.sleep(2.0)
+        for member in returning:
+            added = await region.add_member(
+                member.registration.instance_id, roster
+            )
+            added.link.bytes_per_s = LINK_BYTES_PER_S
+        await assert_in_force(region, tables.change_weights())
+        await asyncio.sleep(CATCH_UP_S - IN_FORCE_S)
+        assert {member.view.table.version for member in region.members} == {
+            tables.current.version
+        }
+
+    run_paused(main())
+
+
+def test_drain_is_not_delayed_by_a_large_table() -> None:
+    """Guards against changes of servers that wait behind a large table."""
+
+    async def main() -> None:
+        region = await start_region()
+        tables = Tables()
+        region.sources[0].put('main', tables.add_routes(3 * ADDED_ROUTES))
+        await asyncio.sleep(0.1)
+        region.sources[1].delete('s1')
+        await asyncio.sleep(1.0)
+        assert all(not member.server_ids() for member in region.members)
+
+    run_paused(main())
