Relay differences of routing tables, a few followers at a time

Callers got 404 for routes of a version that the store had accepted 3 to 8 s before. Class: bulk data and signs of life on one link, without a limit on what is under way.

A change of the table is now sent as its difference from the version before (table_edits), compressed, and encoded once for all followers. Large ones go to six followers at a time; heartbeats, drains and small changes to all at once (followers). The instances with the fastest links, as the platform states them, are ranked first, so that they watch and relay. Instances of earlier builds get whole tables: the registration states the version of the messages.

--- a/src/teaselrock/coordination/ports/registry.py
+++ b/src/teaselrock/coordination/ports/registry.py
@@ -65,13 +65,17 @@
 class InstanceRegistration(NamedTuple):
     """The data under which an instance registers itself.
 
-    `zone` is the name of its zone without the region.
+    `zone` is the name of its zone without the region. `link_mbps` is the speed
+    of its link in Mbit/s, 0 if it is unknown. `relay_protocol` is the version
+    of the messages between instances that it understands.
     """
 
     instance_id: str
     region: str
     zone: str
     address: str = ''
+    link_mbps: float = 0.0
+    relay_protocol: int = 0
 
 
 class InstanceListing(NamedTuple):
@@ -105,6 +109,10 @@
         """Queue a message; False if the connection is closed or blocked."""
         ...
 
+    async def drain(self) -> None:
+        """Wait until the queued messages were handed to the network."""
+        ...
+
     async def receive(self) -> 'NamedTuple | None':
         """Wait for the next message; None once the connection is closed."""
         ...
--- a/src/teaselrock/coordination/registry/__init__.py
+++ b/src/teaselrock/coordination/registry/__init__.py
@@ -8,6 +8,7 @@
 
 from teaselrock.coordination.registry.matching import RouteIndex
 from teaselrock.coordination.registry.matching import RouteShares
+from teaselrock.coordination.registry.messages import RELAY_PROTOCOL
 from teaselrock.coordination.registry.relay import RegionRelay
 from teaselrock.coordination.registry.sync import InstallationSync
 from teaselrock.coordination.registry.view import InstallationView
@@ -19,6 +20,7 @@
     'InstallationSync',
     'InstallationView',
     'KindWatch',
+    'RELAY_PROTOCOL',
     'RegionRelay',
     'RouteIndex',
     'RouteShares',
--- a/src/teaselrock/coordination/registry/messages.py
+++ b/src/teaselrock/coordination/registry/messages.py
@@ -6,12 +6,18 @@
 `values` are the objects written, `deleted` the names of those deleted.
 """
 
+from typing import Final
 from typing import NamedTuple
 
 from teaselrock.coordination.ports import StorePosition
+from teaselrock.coordination.registry.table_edits import TableEdit
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
 
+# Version of these messages that an instance states in its registration:
+# 0 has no `TablesEdited`.
+RELAY_PROTOCOL: Final = 1
+
 
 class MirrorPositions(NamedTuple):
     """Positions of the three mirrors."""
@@ -49,6 +55,20 @@
     deleted: tuple[str, ...]
 
 
+class TablesEdited(NamedTuple):
+    """A change of the routing table, as a difference from the last one.
+
+    An edit of `None` is an unreadable table. Sent to instances whose
+    registration states `RELAY_PROTOCOL` or more; others get `TablesChanged`.
+    """
+
+    after: StorePosition
+    position: StorePosition
+    names: tuple[str, ...]
+    edits: tuple[TableEdit | None, ...]
+    deleted: tuple[str, ...]
+
+
 class ServersChanged(NamedTuple):
     """A change of the backend servers; a value of `None` is unreadable."""
 
--- a/src/teaselrock/coordination/registry/mirror.py
+++ b/src/teaselrock/coordination/registry/mirror.py
@@ -6,6 +6,8 @@
 
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 from typing import Generic
 from typing import NamedTuple
@@ -29,12 +31,14 @@
     """Change from position `after` to that of the listing.
 
     With `after` at `NO_POSITION` the listing is a full snapshot. `source` is
-    the store or the id of the instance that relayed the change.
+    the store or the id of the instance that relayed the change. `replaced`
+    holds the values that a mirror had at position `after`.
     """
 
     after: StorePosition
     listing: ObjectListing[T]
     source: str = STORE_SOURCE
+    replaced: Mapping[str, T] = MappingProxyType({})
 
     @property
     def is_snapshot(self) -> bool:
@@ -93,6 +97,7 @@
             self._entries.clear()
             self._changes.clear()
         else:
+            change = change._replace(replaced=self._values_before(change))
             self._changes.append(change)
         self._position = position
         for entry in change.listing.entries:
@@ -124,6 +129,15 @@
             listing=change.listing._replace(entries=tuple(last.values()))
         )
 
+    def _values_before(self, change: Change[T]) -> Mapping[str, T]:
+        """Present values of the objects that a change names."""
+        values: dict[str, T] = {}
+        for entry in change.listing.entries:
+            known = self._entries.get(entry.name)
+            if known is not None and known.value is not None:
+                values[entry.name] = known.value
+        return values
+
     def since(self, position: StorePosition) -> list[Change[T]]:
         """Changes after `position`, or a snapshot if they are not all kept."""
         if position == self._position:
--- a/src/teaselrock/coordination/registry/precedence.py
+++ b/src/teaselrock/coordination/registry/precedence.py
@@ -4,6 +4,7 @@
 overwrite a later value, so the value that was read last is not always newer.
 """
 
+from teaselrock.coordination.registry.table_edits import share_routes
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
 
@@ -14,7 +15,9 @@
     """The table with the higher version; an unreadable one does not count."""
     if known is None or read is None:
         return known or read
-    return known if known.version > read.version else read
+    if known.version > read.version:
+        return known
+    return share_routes(known, read)
 
 
 def newer_server(
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -1,10 +1,11 @@
 """Relays changes in the store among the instances of a region.
 
 `RegionRelay` decides whether this instance watches the store, and exchanges
-changes with other instances. The instances of a region are ranked by
-rendezvous hashing. The first one watches the store and sends changes and
-heartbeats; the others follow it, and take over the watch in the order of their
-ranks when its heartbeats stop or it cannot reach the store.
+changes with other instances. The instances of a region are ranked by the speed
+of their links, then by rendezvous hashing. The first one watches the store and
+sends changes and heartbeats (`followers`); the others follow it, and take over
+the watch in the order of their ranks when its heartbeats stop or it cannot
+reach the store.
 """
 
 import asyncio
@@ -20,17 +21,15 @@
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.ports import RelayLink
+from teaselrock.coordination.registry.followers import Followers
 from teaselrock.coordination.registry.messages import FollowRequest
 from teaselrock.coordination.registry.messages import MirrorPositions
-from teaselrock.coordination.registry.messages import ServersChanged
-from teaselrock.coordination.registry.messages import TablesChanged
 from teaselrock.coordination.registry.messages import WatchHeartbeat
-from teaselrock.coordination.registry.messages import ZonesChanged
+from teaselrock.coordination.registry.relayed_changes import ChangeMessage
 from teaselrock.coordination.registry.relayed_changes import RelayedChanges
 from teaselrock.coordination.registry.sync import InstallationSync
 from teaselrock.coordination.registry.watch import StoreWatch
 
-HEARTBEAT_INTERVAL_S: Final = 0.25
 # A watching instance without a heartbeat for this time is considered failed.
 HEARTBEAT_TIMEOUT_S: Final = 0.6
 # While a watching instance sends heartbeats but cannot reach the store, other
@@ -79,17 +78,6 @@
         return self.is_connected and self.is_recent(now)
 
 
-class _Follower:
-    """Connection of an instance that follows this one."""
-
-    def __init__(
-        self, *, channel: RelayChannel, positions: MirrorPositions
-    ) -> None:
-        self.channel = channel
-        self.positions = positions
-        self.heartbeat_at = float('-inf')
-
-
 class RegionRelay:
     """Role of this instance: it watches the store or follows one that does."""
 
@@ -116,7 +104,13 @@
         self._followed: dict[str, asyncio.Task[None]] = {}
         self._connected: set[str] = set()
         self._retry_at: dict[str, float] = {}
-        self._followers: set[_Follower] = set()
+        self._ranks: dict[str, int] = {}
+        self._followers = Followers(
+            changes=self._changes,
+            # Instances that are not registered yet come last.
+            rank_of=lambda name: self._ranks.get(name, len(self._ranks)),
+            protocol_of=self._protocol_of,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -144,15 +138,16 @@
         order = rendezvous.ranked(key=self._own.region, members=same_region)
         if not self._ranked:
             self._current_at = asyncio.get_running_loop().time()
+        # The instance that watches sends all changes to all others. Those
+        # with the fastest links do it first; the sort keeps other orders.
+        order.sort(key=lambda name: -same_region[name].link_mbps)
         self._ranked = tuple(same_region[instance_id] for instance_id in order)
+        self._ranks = {name: rank for rank, name in enumerate(order)}
 
     @property
     def rank(self) -> int:
         """Rank of this instance in its region, from 0."""
-        for rank, entry in enumerate(self._ranked):
-            if entry.instance_id == self._own.instance_id:
-                return rank
-        return 0
+        return self._ranks.get(self._own.instance_id, 0)
 
     @property
     def view_age(self) -> float:
@@ -273,9 +268,7 @@
                     self._heartbeats[entry.instance_id] = _ReceivedHeartbeat(
                         loop.time(), message.is_connected
                     )
-                elif isinstance(
-                    message, (TablesChanged, ServersChanged, ZonesChanged)
-                ):
+                elif isinstance(message, ChangeMessage):
                     missing = self._changes.receive(
                         message, source=entry.instance_id
                     )
@@ -309,45 +302,24 @@
         """Serve one accepted connection until it ends."""
         first = await channel.receive()
         if isinstance(first, FollowRequest):
-            await self._serve_follower(channel, first)
+            await self._followers.serve(channel, first)
         elif first is not None and self._serve_other is not None:
             await self._serve_other(channel, first)
 
-    async def _serve_follower(
-        self, channel: RelayChannel, first: FollowRequest
-    ) -> None:
-        follower = _Follower(channel=channel, positions=first.positions)
-        self._followers.add(follower)
-        try:
-            while True:
-                message = await channel.receive()
-                if not isinstance(message, FollowRequest):
-                    return
-                follower.positions = message.positions
-        finally:
-            self._followers.discard(follower)
-
     def _publish(self) -> None:
         """Send followers the changes that they lack, and heartbeats."""
-        if not self._watch.is_running:
-            return
-        now = asyncio.get_running_loop().time()
-        positions = self._changes.positions
-        heartbeat = WatchHeartbeat(
-            self._own.instance_id, self._watch.is_connected, positions
-        )
-        for follower in tuple(self._followers):
-            if follower.positions != positions:
-                self._changes.send_since(
-                    channel=follower.channel, positions=follower.positions
+        if self._watch.is_running:
+            self._followers.publish(
+                WatchHeartbeat(
+                    self._own.instance_id,
+                    self._watch.is_connected,
+                    self._changes.positions,
                 )
-                follower.positions = positions
-            if (
-                now - follower.heartbeat_at
-                >= HEARTBEAT_INTERVAL_S - TICK_INTERVAL_S / 2
-            ):
-                follower.heartbeat_at = now
-                follower.channel.send(heartbeat)
+            )
+
+    def _protocol_of(self, instance_id: str) -> int:
+        entry = self._ranks.get(instance_id)
+        return 0 if entry is None else self._ranked[entry].relay_protocol
 
 
 def watch_takeover_delay(*, rank: int, is_outage: bool) -> float:
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -3,24 +3,35 @@
 `relay` decides which instances exchange them.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
+from typing import TypeVar
 
 from teaselrock.coordination.ports import ObjectEntry
 from teaselrock.coordination.ports import ObjectListing
-from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.ports import StorePosition
 from teaselrock.coordination.registry.messages import MirrorPositions
+from teaselrock.coordination.registry.messages import RELAY_PROTOCOL
 from teaselrock.coordination.registry.messages import ServersChanged
 from teaselrock.coordination.registry.messages import TablesChanged
+from teaselrock.coordination.registry.messages import TablesEdited
 from teaselrock.coordination.registry.messages import ZonesChanged
 from teaselrock.coordination.registry.mirror import Change
+from teaselrock.coordination.registry.mirror import MAX_KEPT_CHANGES
 from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.mirror import NO_POSITION
 from teaselrock.coordination.registry.sync import InstallationSync
+from teaselrock.coordination.registry.table_edits import apply_edit
+from teaselrock.coordination.registry.table_edits import edit_between
+from teaselrock.state.routes import RoutingTable
 
-ChangeMessage = TablesChanged | ServersChanged | ZonesChanged
+T = TypeVar('T')
+MessageT = TypeVar('MessageT', bound=NamedTuple)
+
+TableMessage = TablesChanged | TablesEdited
+ChangeMessage = TableMessage | ServersChanged | ZonesChanged
 
 
 class RelayedChanges:
@@ -28,6 +39,9 @@
 
     def __init__(self, *, sync: InstallationSync) -> None:
         self._sync = sync
+        self._edited_by_positions: OrderedDict[
+            tuple[StorePosition, StorePosition], TablesEdited
+        ] = OrderedDict()
 
     @property
     def positions(self) -> MirrorPositions:
@@ -38,14 +52,43 @@
             self._sync.zones_out.position,
         )
 
-    def send_since(
-        self, *, channel: RelayChannel, positions: MirrorPositions
-    ) -> None:
-        """Send all changes after `positions`."""
-        sync = self._sync
-        _send(channel, sync.tables, positions.tables, TablesChanged)
-        _send(channel, sync.servers, positions.servers, ServersChanged)
-        _send(channel, sync.zones_out, positions.zones_out, ZonesChanged)
+    def objects_since(self, positions: MirrorPositions) -> list[NamedTuple]:
+        """Changes of servers and zones after `positions`, as messages."""
+        messages: list[NamedTuple] = [
+            _message(change, ServersChanged)
+            for change in _changes(self._sync.servers, positions.servers)
+        ]
+        messages += [
+            _message(change, ZonesChanged)
+            for change in _changes(self._sync.zones_out, positions.zones_out)
+        ]
+        return messages
+
+    def tables_since(
+        self, positions: MirrorPositions, *, protocol: int
+    ) -> list[TableMessage]:
+        """Changes of the routing table after `positions`, as messages.
+
+        `protocol` is what the receiver states in its registration. Receivers
+        at the same position get the same message object, so that the link
+        encodes it once.
+        """
+        return [
+            self._edited(change)
+            if protocol >= RELAY_PROTOCOL
+            else _message(change, TablesChanged)
+            for change in _changes(self._sync.tables, positions.tables)
+        ]
+
+    def _edited(self, change: Change[RoutingTable]) -> TablesEdited:
+        key = (change.after, change.listing.position)
+        message = self._edited_by_positions.get(key)
+        if message is None:
+            message = _edited_message(change)
+            self._edited_by_positions[key] = message
+            if len(self._edited_by_positions) > MAX_KEPT_CHANGES:
+                self._edited_by_positions.popitem(last=False)
+        return message
 
     def receive(
         self, message: ChangeMessage, *, source: str
@@ -60,7 +103,12 @@
         """
         if not _has_order(message):
             return self._positions_without(message)
-        if isinstance(message, TablesChanged):
+        if isinstance(message, TablesEdited):
+            change = self._decode_edits(message, source)
+            if change is None:
+                return self._positions_without(message)
+            applied = self._sync.tables.apply(change)
+        elif isinstance(message, TablesChanged):
             applied = self._sync.tables.apply(_decode(message, source))
         elif isinstance(message, ServersChanged):
             applied = self._sync.servers.apply(_decode(message, source))
@@ -68,9 +116,38 @@
             applied = self._sync.zones_out.apply(_decode(message, source))
         return None if applied else self.positions
 
+    def _decode_edits(
+        self, message: TablesEdited, source: str
+    ) -> Change[RoutingTable] | None:
+        """The change; None if an edit is based on another table.
+
+        A change that this mirror already has is applied without its values.
+        """
+        if message.position <= self._sync.tables.position:
+            return Change(
+                message.after, ObjectListing((), message.position), source
+            )
+        entries = [
+            ObjectEntry[RoutingTable](name, None, True)
+            for name in message.deleted
+        ]
+        for name, edit in zip(message.names, message.edits):
+            table: RoutingTable | None = None
+            if edit is not None:
+                known = self._sync.tables.entry(name)
+                table = apply_edit(known.value if known else None, edit)
+                if table is None:
+                    return None
+            entries.append(ObjectEntry(name, table))
+        return Change(
+            message.after,
+            ObjectListing(tuple(entries), message.position),
+            source,
+        )
+
     def _positions_without(self, message: ChangeMessage) -> MirrorPositions:
         """The positions, as if the mirror of a message's kind were empty."""
-        if isinstance(message, TablesChanged):
+        if isinstance(message, TableMessage):
             return self.positions._replace(tables=NO_POSITION)
         if isinstance(message, ServersChanged):
             return self.positions._replace(servers=NO_POSITION)
@@ -83,29 +160,44 @@
     return len(set(names)) == len(names)
 
 
-def _send(
-    channel: RelayChannel,
-    mirror: Mirror[Any],
-    position: StorePosition,
-    message_type: Callable[..., NamedTuple],
-) -> None:
-    if mirror.position <= position:
-        return
-    for change in mirror.since(position):
-        entries = change.listing.entries
-        kept = [entry for entry in entries if not entry.is_deleted]
-        channel.send(
-            message_type(
-                change.after,
-                change.listing.position,
-                tuple(entry.name for entry in kept),
-                tuple(entry.value for entry in kept),
-                tuple(entry.name for entry in entries if entry.is_deleted),
-            )
-        )
+def _changes(mirror: Mirror[T], position: StorePosition) -> list[Change[T]]:
+    return mirror.since(position) if mirror.position > position else []
+
+
+def _message(
+    change: Change[Any], message_type: Callable[..., MessageT]
+) -> MessageT:
+    entries = change.listing.entries
+    kept = [entry for entry in entries if not entry.is_deleted]
+    return message_type(
+        change.after,
+        change.listing.position,
+        tuple(entry.name for entry in kept),
+        tuple(entry.value for entry in kept),
+        tuple(entry.name for entry in entries if entry.is_deleted),
+    )
+
+
+def _edited_message(change: Change[RoutingTable]) -> TablesEdited:
+    entries = change.listing.entries
+    kept = [entry for entry in entries if not entry.is_deleted]
+    return TablesEdited(
+        change.after,
+        change.listing.position,
+        tuple(entry.name for entry in kept),
+        tuple(
+            edit_between(change.replaced.get(entry.name), entry.value)
+            if entry.value is not None
+            else None
+            for entry in kept
+        ),
+        tuple(entry.name for entry in entries if entry.is_deleted),
+    )
 
 
-def _decode(message: ChangeMessage, source: str) -> Change[Any]:
+def _decode(
+    message: TablesChanged | ServersChanged | ZonesChanged, source: str
+) -> Change[Any]:
     kept: list[ObjectEntry[Any]] = [
         ObjectEntry(name, value)
         for name, value in zip(message.names, message.values)
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -20,6 +20,7 @@
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.registry import InstallationView
+from teaselrock.coordination.registry import RELAY_PROTOCOL
 from teaselrock.coordination.registry import RouteShares
 from teaselrock.coordination.route_attempts import RetryBudgetLimits
 from teaselrock.coordination.routed_instance import RoutedInstance
@@ -301,6 +302,8 @@
                     settings.region,
                     settings.zone,
                     f'{settings.peer_host}:{settings.peer_ports[0]}',
+                    settings.limits.link_mbps,
+                    RELAY_PROTOCOL,
                 ),
                 regions=frozenset(zone_regions.values()),
                 is_first_start=settings.is_first_start,
--- a/src/teaselrock/platform/documents.py
+++ b/src/teaselrock/platform/documents.py
@@ -150,15 +150,21 @@
             non_empty_text(spec['region']),
             non_empty_text(spec['zone']),
             ip_address(spec['address']),
+            float(spec.get('link_mbps') or 0.0),
+            whole_number(spec.get('relay_protocol') or 0),
         )
     except MALFORMED_ERRORS:
         return None
 
 
-def encode_instance(registration: InstanceRegistration) -> dict[str, str]:
+def encode_instance(
+    registration: InstanceRegistration,
+) -> dict[str, str | float]:
     """Encode an instance's registration; reverses `decode_instance`."""
     return {
         'region': registration.region,
         'zone': registration.zone,
         'address': registration.address,
+        'link_mbps': registration.link_mbps,
+        'relay_protocol': registration.relay_protocol,
     }
--- a/src/teaselrock/platform/settings.py
+++ b/src/teaselrock/platform/settings.py
@@ -38,7 +38,8 @@
     of the last `retry_window_s`. The settings also allow a fixed number of
     extra attempts, which is not used. `memory_bytes` is the memory of the
     machine and `max_descriptors` the number of descriptors that a process may
-    open, None if they are not stated.
+    open, None if they are not stated. `link_mbps` is the speed of the
+    machine's link in Mbit/s, 0 if it is not stated.
     """
 
     retry_share: float = 0.1
@@ -46,6 +47,7 @@
     stop_grace_s: float = 6.0
     memory_bytes: int | None = None
     max_descriptors: int | None = None
+    link_mbps: float = 0.0
 
 
 class ProcessSettings(NamedTuple):
@@ -123,6 +125,8 @@
         limits = limits._replace(memory_bytes=_memory_bytes(document))
         field = 'limits.max_fds'
         limits = limits._replace(max_descriptors=_max_descriptors(document))
+        field = 'limits.link_mbps'
+        limits = limits._replace(link_mbps=_link_mbps(document))
     except MALFORMED_ERRORS as error:
         return Error(SettingsError(field, str(error) or 'missing'))
     return Ok(
@@ -167,6 +171,13 @@
     return int(count)
 
 
+def _link_mbps(document: Any) -> float:
+    speed = float((document.get('limits') or {}).get('link_mbps') or 0.0)
+    if speed < 0:
+        raise ValueError('must not be negative')
+    return speed
+
+
 def _limits(assignments: Any) -> PlatformLimits:
     """Decode the limits, a list of strings `name=value`."""
     values: dict[str, float] = {}
--- a/src/teaselrock/protocol/relay_messages.py
+++ b/src/teaselrock/protocol/relay_messages.py
@@ -24,4 +24,7 @@
     94: messages.ZonesChanged,
     95: permit_messages.PermitRequest,
     96: permit_messages.PermitResponse,
+    97: messages.TablesEdited,
 }
+# Routes compress to about a third. Earlier builds know none of these kinds.
+COMPRESSED_RELAY_KINDS: Final = frozenset({97})
--- a/src/teaselrock/transport/relay_link.py
+++ b/src/teaselrock/transport/relay_link.py
@@ -7,13 +7,17 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import socket
 from typing import Final
 from typing import NamedTuple
 
 from teaselrock.coordination.ports import RelayChannel
 from teaselrock.protocol import MessageCodec
+from teaselrock.protocol.relay_messages import COMPRESSED_RELAY_KINDS
 from teaselrock.protocol.relay_messages import MAX_RELAY_BYTES
 from teaselrock.protocol.relay_messages import RELAY_KINDS
 from teaselrock.transport.tcp_keep_alive import enable_tcp_keep_alive
@@ -21,9 +25,35 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 # Unsent bytes above which a connection is closed.
 MAX_QUEUED_BYTES: Final = 2 * MAX_RELAY_BYTES
+# About what a link of 10 Mbit/s sends in 50 ms.
+SEND_BUFFER_BYTES: Final = 65536
+# Large frames that are kept, since many channels send the same message.
+MAX_RECENT_FRAMES: Final = 4
+MIN_RECENT_BYTES: Final = 4096
 _LENGTH_BYTES: Final = 4
 
 
+class _FrameEncoder:
+    """Encodes frames; a large message of many channels only once."""
+
+    def __init__(self, *, codec: MessageCodec) -> None:
+        self._codec = codec
+        self._recent: deque[tuple[NamedTuple, bytes]] = deque(
+            maxlen=MAX_RECENT_FRAMES
+        )
+
+    def encode(self, message: NamedTuple) -> bytes:
+        """Length and encoded message."""
+        for recent, frame in self._recent:
+            if recent is message:
+                return frame
+        encoded = self._codec.encode(message)
+        frame = len(encoded).to_bytes(_LENGTH_BYTES) + encoded
+        if len(frame) >= MIN_RECENT_BYTES:
+            self._recent.append((message, frame))
+        return frame
+
+
 class StreamChannel:
     """`RelayChannel` on one TCP connection."""
 
@@ -33,13 +63,23 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         codec: MessageCodec,
+        frames: '_FrameEncoder',
         on_invalid: Callable[[str], None],
     ) -> None:
+        self._frames = frames
         self._reader = reader
         self._writer = writer
         self._codec = codec
         self._on_invalid = on_invalid
         enable_tcp_keep_alive(writer)
+        # `drain` waits until the socket has taken all, whose own buffer must
+        # not hide how much has yet to be sent.
+        writer.transport.set_write_buffer_limits(high=0)
+        sock = writer.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
 
     def send(self, message: NamedTuple) -> bool:
         """Queue a message; returns False if the connection is lost.
@@ -52,10 +92,14 @@
         if transport.get_write_buffer_size() > MAX_QUEUED_BYTES:
             transport.abort()
             return False
-        frame = self._codec.encode(message)
-        self._writer.write(len(frame).to_bytes(_LENGTH_BYTES) + frame)
+        self._writer.write(self._frames.encode(message))
         return True
 
+    async def drain(self) -> None:
+        """Wait until the socket has taken all messages, or is closed."""
+        with contextlib.suppress(OSError):
+            await self._writer.drain()
+
     async def receive(self) -> 'NamedTuple | None':
         """Wait for the next message; None if the connection ended.
 
@@ -95,8 +139,11 @@
         self._port = port
         self._on_invalid = on_invalid
         self._codec = MessageCodec(
-            kinds=RELAY_KINDS, max_bytes=MAX_RELAY_BYTES
+            kinds=RELAY_KINDS,
+            max_bytes=MAX_RELAY_BYTES,
+            compressed_kinds=COMPRESSED_RELAY_KINDS,
         )
+        self._frames = _FrameEncoder(codec=self._codec)
         self._server: asyncio.Server | None = None
         self._channels: set[StreamChannel] = set()
 
@@ -145,5 +192,6 @@
             reader=reader,
             writer=writer,
             codec=self._codec,
+            frames=self._frames,
             on_invalid=self._on_invalid,
         )
