Add failing tests: a slow response of the store is given up

A list call fails 1.0 s after its start and a long poll 0.4 s after the end of its wait, even while the response arrives. With these limits a large document is never read on a slow link, however often the call is repeated.

A response that stops half way, and a call without any response byte, already fail; the tests keep that.

--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -43,6 +43,15 @@
         raise NotImplementedError
 
 
+class Pace(NamedTuple):
+    """Sends each response in parts, with a pause before each one."""
+
+    parts: int = 1
+    pause_s: float = 0.0
+    # Number of parts after which nothing more is sent, None to send all.
+    sent_parts: int | None = None
+
+
 class HttpStandin(LoopbackListener):
     """An HTTP server; closes the connection if the handler returns None."""
 
@@ -50,6 +59,7 @@
         super().__init__()
         self.handler = handler
         self.limits = CallerLimits()
+        self.pace = Pace()
         self.writers: set[asyncio.StreamWriter] = set()
 
     def stop(self) -> None:
@@ -73,13 +83,23 @@
                     lines += [f'{k}: {v}' for k, v in fields.items()]
                     lines.append(f'Content-Length: {len(body)}')
                     head = '\r\n'.join(lines) + '\r\n\r\n'
-                    writer.write(head.encode() + body)
+                    await self._send(writer, head.encode() + body)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if self.pace == Pace():
+            writer.write(data)
+            return
+        part_bytes = -(-len(data) // self.pace.parts)
+        starts = range(0, len(data), part_bytes)
+        for start in starts[: self.pace.sent_parts]:
+            await asyncio.sleep(self.pace.pause_s)
+            writer.write(data[start : start + part_bytes])
+
 
 class StoreCopy(NamedTuple):
     """Content of a store at one moment."""
