Move the failures of exchanges out of transport/backend.py

Each failure is now made by a function of transport/exchange_failures.py; kinds, verdicts and texts are unchanged.

--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -22,11 +22,11 @@
 from teaselrock.state import BackendResponse
 from teaselrock.state import BackendServer
 from teaselrock.state import ExchangeFailure
-from teaselrock.state import FailureKind
 from teaselrock.state import LoadReport
 from teaselrock.state import RequestContent
 from teaselrock.state import ServerState
 from teaselrock.state import Verdict
+from teaselrock.transport import exchange_failures
 from teaselrock.transport.body_parts import body_parts
 from teaselrock.transport.body_parts import PART_BYTES
 from teaselrock.transport.dialect import BackendDialect
@@ -126,34 +126,13 @@
         self, content: RequestContent, deadline: float, limits: ResponseLimits
     ) -> Result[BackendResponse, ExchangeFailure]:
         if not self.is_open:
-            return Error(
-                ExchangeFailure(
-                    FailureKind.NO_RESPONSE,
-                    Verdict.DID_NOT_RUN,
-                    f'connection to {self._server.server_id} was closed '
-                    'before the request was sent',
-                )
-            )
+            return Error(exchange_failures.closed_before_sent(self._server))
         if asyncio.get_running_loop().time() >= deadline:
-            return Error(
-                ExchangeFailure(
-                    FailureKind.TIMEOUT,
-                    Verdict.DID_NOT_RUN,
-                    'deadline passed before the request to '
-                    f'{self._server.server_id} was sent',
-                )
-            )
+            return Error(exchange_failures.late_before_sent(self._server))
         self._exchange_count += 1
         head = self._encode_head(content, deadline)
         if head is None:
-            return Error(
-                ExchangeFailure(
-                    FailureKind.NO_RESPONSE,
-                    Verdict.DID_NOT_RUN,
-                    'line break or NUL in the request line or a header field '
-                    f'of the request to {self._server.server_id}',
-                )
-            )
+            return Error(exchange_failures.unsendable_head(self._server))
         self._is_idle = False
         self._reader.expect_data()
         held = self._memory.open(
@@ -172,23 +151,9 @@
                     content, limits, held, sending
                 )
         except TimeoutError:
-            return Error(
-                ExchangeFailure(
-                    FailureKind.TIMEOUT,
-                    Verdict.MAY_HAVE_RUN,
-                    'deadline passed before the response of '
-                    f'{self._server.server_id} was complete',
-                )
-            )
+            return Error(exchange_failures.late_response(self._server))
         except (OSError, ResponseError, httptools.HttpParserError) as error:
-            return Error(
-                ExchangeFailure(
-                    FailureKind.NO_RESPONSE,
-                    Verdict.MAY_HAVE_RUN,
-                    f'connection to {self._server.server_id} failed during '
-                    f'the exchange: {error}',
-                )
-            )
+            return Error(exchange_failures.lost_exchange(self._server, error))
         finally:
             if sending is not None:
                 sending.cancel()
@@ -315,11 +280,8 @@
             if data:
                 response.feed(data)
             if response.is_too_large:
-                return ExchangeFailure(
-                    FailureKind.INVALID_RESPONSE,
-                    Verdict.MAY_HAVE_RUN,
-                    f'response body of {self._server.server_id} exceeds '
-                    f'{response.limits.body} bytes',
+                return exchange_failures.too_large_response(
+                    self._server, response.limits.body
                 )
             if response.is_complete:
                 return None
@@ -335,7 +297,7 @@
                     and response.is_close_delimited
                 ):
                     return None
-                return _incomplete_response(response)
+                return exchange_failures.incomplete_response(response.status)
 
 
 def _usable_idle_time(idle_timeout: float) -> float:
@@ -344,21 +306,6 @@
     return idle_timeout - margin
 
 
-def _incomplete_response(response: ResponseParser) -> ExchangeFailure:
-    """Failure of a response that ended early.
-
-    A close-delimited response ends with the connection. A lost connection
-    looks the same, so such a response may be incomplete.
-    """
-    return ExchangeFailure(
-        FailureKind.INVALID_RESPONSE
-        if response.status
-        else FailureKind.NO_RESPONSE,
-        Verdict.MAY_HAVE_RUN,
-        'connection was closed before the response was complete',
-    )
-
-
 class HttpConnector:
     """Opens connections; reads a load report first if the dialect has one."""
 
@@ -395,7 +342,11 @@
             raise
         if checked.is_error() or connection.load.start_id == '':
             connection.close()
-            return Error(_connect_failure(server, 'no valid load report'))
+            return Error(
+                exchange_failures.connect_failure(
+                    server, 'no valid load report'
+                )
+            )
         if connection.is_open:
             return Ok(connection)
         connection.close()
@@ -418,7 +369,11 @@
                 reader, writer = await open_stream(host, int(port))
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             # The last two: no valid port in an address of another writer.
-            return Error(_connect_failure(server, str(error) or 'timed out'))
+            return Error(
+                exchange_failures.connect_failure(
+                    server, str(error) or 'timed out'
+                )
+            )
         enable_tcp_keep_alive(writer)
         return Ok(
             HttpConnection(
@@ -430,11 +385,3 @@
                 load=load,
             )
         )
-
-
-def _connect_failure(server: BackendServer, detail: str) -> ExchangeFailure:
-    return ExchangeFailure(
-        FailureKind.CONNECT,
-        Verdict.DID_NOT_RUN,
-        f'no usable connection to {server.server_id}: {detail}',
-    )
