Wait for a response of the store while it arrives

Cause: the time limit of a call, 1.0 s for a list and 0.4 s after the wait of a long poll, covered the whole response whatever its size. 840 KB take 0.67 s on an idle link of that size, so a long poll with a wait of 0.2 s never succeeded, and each new call made the link busier.

These limits now apply until the first byte of the response, so a lost call is noticed as before. From then on the store's connections wait at least that long, and past it as long as bytes arrive: 0.4 s after the latest byte, 5 s after the first one. HttpConnector takes a ResponseTimeout; its default, CompleteByDeadline, keeps the deadline of requests to backend servers absolute. The transport reschedules the timeout when bytes arrive, not the task that reads them, so that a stall of the process does not end a response whose bytes are there.

--- a/src/teaselrock/platform/store.py
+++ b/src/teaselrock/platform/store.py
@@ -30,7 +30,7 @@
 
 T = TypeVar('T')
 
-# The response to a long poll may come this much after the end of its wait.
+# The response to a long poll may begin this much after the end of its wait.
 WAIT_MARGIN_S: Final = 0.4
 MAX_WAIT_MS: Final = 30_000
 # Kinds of objects. The platform defines all but the last one.
--- a/src/teaselrock/platform/store_client.py
+++ b/src/teaselrock/platform/store_client.py
@@ -36,8 +36,15 @@
 from teaselrock.transport.dialect import ResponseInfo
 from teaselrock.transport.response_memory import ResponseMemory
 from teaselrock.transport.response_parser import ResponseParser
+from teaselrock.transport.response_timeout import WhileArriving
 
+# Until a response begins. From then on, its time depends on its size.
 CALL_TIMEOUT_S: Final = 1.0
+# TCP repeats a lost segment after 0.2 s at the earliest, so with a shorter
+# limit a single loss could end a call.
+STALL_TIMEOUT_S: Final = 0.4
+# The largest object, 1 MiB, takes 4.2 s with a fifth of a link of 10 Mbit/s.
+MAX_RESPONSE_S: Final = 5.0
 MAX_IDLE_CONNECTIONS: Final = 2
 # Number of times that the store was restored from a copy, in all responses.
 ERA: Final = 'store-era'
@@ -115,7 +122,11 @@
         )
         self._connections = ConnectionPool(
             connector=HttpConnector(
-                dialect=_PlainHttpDialect(), memory=memory
+                dialect=_PlainHttpDialect(),
+                memory=memory,
+                response_timeout=WhileArriving(
+                    stall_s=STALL_TIMEOUT_S, total_s=MAX_RESPONSE_S
+                ),
             ),
             idle_limit=FixedIdleLimit(count=MAX_IDLE_CONNECTIONS),
         )
@@ -144,7 +155,8 @@
     ) -> Result[StoreReply, StoreError]:
         """Make one call; fails unless the response has a 2xx status.
 
-        `timeout` is in seconds; `decode` decodes the body of the response.
+        `timeout` is in seconds, until the response begins; one that arrives
+        may take up to `MAX_RESPONSE_S`. `decode` decodes its body.
         """
         result = await self._call(method, path, query, body, timeout, decode)
         if result.is_ok():
--- a/src/teaselrock/transport/backend.py
+++ b/src/teaselrock/transport/backend.py
@@ -42,6 +42,9 @@
 from teaselrock.transport.response_reader import open_stream
 from teaselrock.transport.response_reader import READ_BYTES
 from teaselrock.transport.response_reader import ResponseReader
+from teaselrock.transport.response_timeout import arrival_observer
+from teaselrock.transport.response_timeout import CompleteByDeadline
+from teaselrock.transport.response_timeout import ResponseTimeout
 from teaselrock.transport.tcp_keep_alive import enable_tcp_keep_alive
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -68,6 +71,7 @@
         server: BackendServer,
         dialect: BackendDialect,
         memory: ResponseMemory,
+        response_timeout: ResponseTimeout,
         load: LoadReport = UNKNOWN_LOAD,
     ) -> None:
         self._reader = reader
@@ -75,6 +79,7 @@
         self._server = server
         self._dialect = dialect
         self._memory = memory
+        self._response_timeout = response_timeout
         self._load = load
         self._exchange_count = 0
         self._idle_until: float | None = None
@@ -119,7 +124,11 @@
     async def exchange(
         self, *, content: RequestContent, deadline: float
     ) -> Result[BackendResponse, ExchangeFailure]:
-        """Send one request and read its whole response."""
+        """Send one request and read its whole response.
+
+        The response must begin before the deadline; the connector's
+        `ResponseTimeout` decides when it must be complete.
+        """
         return await self._exchange(content, deadline, RESPONSE_LIMITS)
 
     async def _exchange(
@@ -134,14 +143,20 @@
         if head is None:
             return Error(exchange_failures.unsendable_head(self._server))
         self._is_idle = False
-        self._reader.expect_data()
         held = self._memory.open(
             server_id=self._server.server_id,
             abort=self._writer.transport.abort,
         )
         sending: asyncio.Task[None] | None = None
         try:
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(deadline) as timeout:
+                self._reader.expect_data(
+                    arrival_observer(
+                        timeout=timeout,
+                        response_timeout=self._response_timeout,
+                        deadline=deadline,
+                    )
+                )
                 if len(content.body) <= PART_BYTES:
                     self._writer.write(head + content.body)
                 else:
@@ -314,9 +329,11 @@
         *,
         dialect: BackendDialect | None = None,
         memory: ResponseMemory | None = None,
+        response_timeout: ResponseTimeout | None = None,
     ) -> None:
         self._dialect = dialect or DefaultBackendDialect()
         self._memory = memory or ResponseMemory()
+        self._response_timeout = response_timeout or CompleteByDeadline()
 
     async def connect(
         self, *, server: BackendServer, deadline: float
@@ -382,6 +399,7 @@
                 server=server,
                 dialect=self._dialect,
                 memory=self._memory,
+                response_timeout=self._response_timeout,
                 load=load,
             )
         )
--- a/src/teaselrock/transport/response_reader.py
+++ b/src/teaselrock/transport/response_reader.py
@@ -8,6 +8,10 @@
 READ_BYTES: Final = 65536
 
 
+def _ignore() -> None:
+    pass
+
+
 class ResponseReader(asyncio.StreamReader):
     """Stream that keeps no bytes that arrive outside an exchange.
 
@@ -18,6 +22,7 @@
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(limit=READ_BYTES, loop=loop)
         self._unread_bytes = 0
+        self._on_arrival: Callable[[], None] = _ignore
         self._on_unexpected: Callable[[], None] | None = None
 
     @property
@@ -25,12 +30,14 @@
         """Bytes that have arrived and have not been read."""
         return self._unread_bytes
 
-    def expect_data(self) -> None:
-        """Keep arriving bytes until `reject_data`."""
+    def expect_data(self, on_arrival: Callable[[], None]) -> None:
+        """Keep arriving bytes until `reject_data`; call `on_arrival`."""
+        self._on_arrival = on_arrival
         self._on_unexpected = None
 
     def reject_data(self, on_unexpected: Callable[[], None]) -> None:
         """Drop arriving bytes and call `on_unexpected`."""
+        self._on_arrival = _ignore
         self._on_unexpected = on_unexpected
 
     def feed_data(self, data: Any) -> None:
@@ -38,6 +45,7 @@
         if self._on_unexpected is not None:
             self._on_unexpected()
             return
+        self._on_arrival()
         self._unread_bytes += len(data)
         super().feed_data(data)
 
--- a/tests/platform/test_slow_store_responses.py
+++ b/tests/platform/test_slow_store_responses.py
@@ -15,6 +15,7 @@
 from teaselrock.coordination.ports import StoreError
 from teaselrock.coordination.ports import StoreErrorKind
 from teaselrock.coordination.ports import StorePosition
+from teaselrock.platform import store_client
 from teaselrock.platform.store import StoredObjectSource
 from teaselrock.platform.store_client import StoreClient
 from teaselrock.transport.response_memory import response_limit
@@ -93,3 +94,14 @@
     result = _read(read, Pace(sent_parts=0))
     assert result.is_error()
     assert result.error.kind is StoreErrorKind.UNKNOWN
+
+
+@READS
+def test_trickle_holds_a_call(
+    read: Read, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a response that arrives without end."""
+    monkeypatch.setattr(store_client, 'MAX_RESPONSE_S', 0.6)
+    result = _read(read, Pace(parts=2000, pause_s=0.02))
+    assert result.is_error()
+    assert result.error.kind is StoreErrorKind.UNKNOWN
