Test that an added route is not denied from outdated routes

An instance that lacks a version of the routes answers 404 for the routes that the version adds, and callers do not repeat a 404.

The bounds are those of the platform: a version is in force 2 s after the store's response, 3 s after an outage of the store.

--- /dev/null
+++ b/tests/platform/test_lost_store_routes.py
@@ -0,0 +1,45 @@
+"""Requests of unknown paths to a gateway that has lost the store."""
+
+import asyncio
+import json
+
+from gateway_world import BUILD
+from gateway_world import ROUTE
+from gateway_world import routes_spec
+from gateway_world import Run
+from gateway_world import World
+
+# A version must be in force this long after the store acknowledged it.
+VERSION_IN_FORCE_S = 2.0
+# After an outage of the store, versions must be in force after this time.
+RECOVERY_S = 3.0
+MAX_RETRY_AFTER_S = 0.3
+ADDED = {**ROUTE, 'name': 'added', 'path_prefix': '/added/'}
+
+
+def test_added_route_is_not_denied_while_the_store_is_lost(run: Run) -> None:
+    """Guards against 404 for a route added just before the store was lost."""
+
+    async def scenario(world: World) -> None:
+        assert (await world.send_request('/added/1'))[0] == 404
+        world.store.drops_connections = True
+        for writer in tuple(world.store.http.writers):
+            writer.close()
+        world.store.put(
+            'config', 'main', routes_spec('0000000b', ROUTE, BUILD, ADDED)
+        )
+        await asyncio.sleep(VERSION_IN_FORCE_S)
+        status, fields, body = await world.send_request('/added/1')
+        assert status == 503
+        assert 0 < float(fields['Retry-After']) <= MAX_RETRY_AFTER_S
+        refusal = json.loads(body)
+        assert refusal['code'] == 'instance-not-ready'
+        assert refusal['verdict'] == 'did-not-run'
+        assert 'version 10' in refusal['detail']
+        assert (await world.send_request('/x/1'))[0] == 200
+        world.store.drops_connections = False
+        await asyncio.sleep(RECOVERY_S)
+        assert (await world.send_request('/added/1'))[0] == 200
+        assert (await world.send_request('/other/1'))[0] == 404
+
+    run(scenario)
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -187,11 +187,12 @@
         self.peer_end: MemoryChannel | None = None
         self.is_closed = False
         self.is_cut = False
+        self.dropped_types: tuple[type, ...] = ()
 
     def send(self, message: NamedTuple) -> bool:
         if self.is_closed or self.peer_end is None:
             return False
-        if not self.is_cut:
+        if not self.is_cut and not isinstance(message, self.dropped_types):
             loop = asyncio.get_running_loop()
             frame = CODEC.encode(message)
             loop.call_later(
