Deny an unmatched path only while the routes are known to be current

They do not repeat a 404. The front end answered it from the table in force, however long nothing had confirmed that table.

TableFreshness records when the table was last confirmed: by an applied response of the store to the own long poll for routes, or by a heartbeat of an instance that is connected to the store and has no newer position of the tables.

A confirmation by the store counts for 1.3 s and one by a heartbeat for 0.6 s. One common time of 1.3 s would not keep the bound of 2 s, since a heartbeat may rest on a response that is 1.3 s old.

A new watcher reported a connection to the store as soon as a call of any kind had succeeded, although its table could be as old as those of its followers. StoreConnectivity now waits for a response of each kind.

MemoryChannel of the tests delivers messages in order, as TCP does. Timers of the same moment could deliver a heartbeat before the change that it was sent after.

--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -273,6 +273,7 @@
                     self._heartbeats[entry.instance_id] = _ReceivedHeartbeat(
                         loop.time(), message.is_connected
                     )
+                    self._changes.confirm(message)
                 elif isinstance(
                     message, (TablesChanged, ServersChanged, ZonesChanged)
                 ):
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -14,6 +14,7 @@
 from teaselrock.coordination.registry.messages import MirrorPositions
 from teaselrock.coordination.registry.messages import ServersChanged
 from teaselrock.coordination.registry.messages import TablesChanged
+from teaselrock.coordination.registry.messages import WatchHeartbeat
 from teaselrock.coordination.registry.messages import ZonesChanged
 from teaselrock.coordination.registry.mirror import Change
 from teaselrock.coordination.registry.mirror import Mirror
@@ -68,6 +69,14 @@
             applied = self._sync.zones_out.apply(_decode(message, source))
         return None if applied else self.positions
 
+    def confirm(self, heartbeat: WatchHeartbeat) -> None:
+        """Note that a watching instance has no newer routing table."""
+        if (
+            heartbeat.is_connected
+            and heartbeat.positions.tables <= self._sync.tables.position
+        ):
+            self._sync.table_freshness.confirm_by_heartbeat()
+
     def _positions_without(self, message: ChangeMessage) -> MirrorPositions:
         """The positions, as if the mirror of a message's kind were empty."""
         if isinstance(message, TablesChanged):
--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -15,6 +15,7 @@
 from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import ObjectEntry
 from teaselrock.coordination.registry.delayed_actions import DelayedActions
+from teaselrock.coordination.registry.freshness import TableFreshness
 from teaselrock.coordination.registry.mirror import Change
 from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.precedence import newer_server
@@ -81,6 +82,11 @@
         """Mirror of the routing table."""
         return self._tables
 
+    @property
+    def table_freshness(self) -> TableFreshness:
+        """Whether the routing table is known to be that in the store."""
+        return self._view.table_freshness
+
     @property
     def servers(self) -> Mirror[BackendServer]:
         """Mirror of the servers' registrations."""
--- a/src/teaselrock/coordination/registry/view.py
+++ b/src/teaselrock/coordination/registry/view.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from teaselrock.coordination.registry.freshness import TableFreshness
 from teaselrock.coordination.registry.matching import RouteIndex
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import EMPTY_TABLE
@@ -37,6 +38,7 @@
         self._table = EMPTY_TABLE
         self._index = RouteIndex(table=EMPTY_TABLE)
         self._table_origin = TableOrigin()
+        self._table_freshness = TableFreshness()
         self._servers: dict[str, BackendServer] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._in_service_cache: dict[str, tuple[BackendServer, ...]] | None = (
@@ -57,6 +59,11 @@
         """Source of the routing table in force, and since when it is."""
         return self._table_origin
 
+    @property
+    def table_freshness(self) -> TableFreshness:
+        """Whether the routing table is known to be that in the store."""
+        return self._table_freshness
+
     @property
     def index(self) -> RouteIndex:
         """Index of the routing table in force."""
--- a/src/teaselrock/coordination/registry/watch.py
+++ b/src/teaselrock/coordination/registry/watch.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
 from typing import Any
 from typing import Final
@@ -48,14 +50,15 @@
     def __init__(self, *, events: Events) -> None:
         self._events = events
         self._failed_at: dict[str, float] = {}
-        self._has_succeeded = False
+        # Kinds without a successful call since the watch was started.
+        self._unanswered: set[str] = set()
         self._reconnected_at = float('-inf')
         self._retry_lock = asyncio.Lock()
 
     @property
     def is_connected(self) -> bool:
         """Whether the last call of each kind succeeded."""
-        return self._has_succeeded and not self._failed_at
+        return not self._unanswered and not self._failed_at
 
     @property
     def reconnected_at(self) -> float:
@@ -71,9 +74,12 @@
         """Whether the last call of a kind failed."""
         return kind in self._failed_at
 
-    def reset(self) -> None:
-        """Discard the results of earlier calls."""
-        self._has_succeeded = False
+    def reset(self, *, kinds: Iterable[str]) -> None:
+        """Discard the results of earlier calls of these kinds.
+
+        The mirror of a kind may be old until its first call succeeds.
+        """
+        self._unanswered = set(kinds)
         self._failed_at.clear()
 
     def record_failure(self, *, kind: str, detail: str) -> None:
@@ -84,7 +90,7 @@
 
     def record_success(self, *, kind: str) -> None:
         """Record a successful call of a kind."""
-        self._has_succeeded = True
+        self._unanswered.discard(kind)
         lost_at = self._failed_at.pop(kind, None)
         if lost_at is None:
             return
@@ -100,7 +106,8 @@
 class KindWatch(Generic[T]):
     """Watches the objects of one kind and applies changes to a mirror.
 
-    `wait` is that of a long poll, in seconds.
+    `wait` is that of a long poll, in seconds. `on_current` is called after
+    each response that the mirror has applied.
     """
 
     def __init__(
@@ -112,6 +119,7 @@
         connectivity: StoreConnectivity,
         rng: random.Random,
         wait: float = POLL_WAIT_S,
+        on_current: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
         self._source = source
@@ -119,9 +127,15 @@
         self._connectivity = connectivity
         self._rng = rng
         self._wait = wait
+        self._on_current = on_current
         self._needs_listing = False
         self._has_just_listed = False
 
+    @property
+    def name(self) -> str:
+        """Name of the kind."""
+        return self._name
+
     async def run(self) -> None:
         """Poll until cancelled, at first with a short wait."""
         wait = PROBE_WAIT_S
@@ -180,6 +194,8 @@
         is_listing = after == NO_POSITION
         self._has_just_listed = is_listing
         self._needs_listing = not self._mirror.apply(Change(after, result.ok))
+        if not self._needs_listing:
+            self._on_current()
         if result.ok.entries and not is_listing:
             await asyncio.sleep(BATCH_DELAY_S)
         return True
@@ -211,7 +227,9 @@
     def start(self) -> None:
         """Start the tasks, unless they are running."""
         if not self._tasks:
-            self._connectivity.reset()
+            self._connectivity.reset(
+                kinds=(watch.name for watch in self._watches)
+            )
             self._tasks = [
                 asyncio.create_task(watch.run()) for watch in self._watches
             ]
--- a/src/teaselrock/coordination/routed_instance.py
+++ b/src/teaselrock/coordination/routed_instance.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import random
 from typing import Final
@@ -89,16 +90,17 @@
 class RoutedStats(NamedTuple):
     """Values of one instance for its metrics.
 
-    `view_age` is in seconds; `servers` is the number of servers in service,
-    `rate_limited_servers` that of servers that announce a rate limit, and
-    `announced_rates` the sum of these limits in requests per second.
-    `leaving_servers` and `paused_servers` are the numbers of those that want
-    no more requests, or none for a while, by their own responses. All of them
-    and `retry_budgets` are by service. `permits` counts those for servers
-    with limited rates.
+    `view_age` and `routes_confirmed_age` are in seconds; `servers` is the
+    number of servers in service, `rate_limited_servers` that of servers that
+    announce a rate limit, and `announced_rates` the sum of these limits in
+    requests per second. `leaving_servers` and `paused_servers` are the numbers
+    of those that want no more requests, or none for a while, by their own
+    responses. All of them and `retry_budgets` are by service. `permits` counts
+    those for servers with limited rates.
     """
 
     view_age: float
+    routes_confirmed_age: float
     is_watching: bool
     idle_connections: int
     servers: Mapping[str, int]
@@ -218,6 +220,7 @@
         """Current values of the components, for metrics."""
         return RoutedStats(
             self._relay.view_age,
+            self._view.table_freshness.age,
             self._watch.is_running,
             self._connections.idle_count,
             self._view.in_service_counts,
@@ -261,6 +264,7 @@
             source: ObjectSource[T],
             mirror: Mirror[T],
             wait: float = POLL_WAIT_S,
+            on_current: Callable[[], None] = lambda: None,
         ) -> KindWatch[T]:
             return KindWatch(
                 name=name,
@@ -269,6 +273,7 @@
                 connectivity=connectivity,
                 rng=self._rng,
                 wait=wait,
+                on_current=on_current,
             )
 
         return StoreWatch(
@@ -278,6 +283,7 @@
                     ports.tables,
                     self._sync.tables,
                     SHORT_POLL_WAIT_S,
+                    self._view.table_freshness.confirm_by_store,
                 ),
                 watch_kind('servers', ports.servers, self._sync.servers),
                 watch_kind('zones-out', ports.zones_out, self._sync.zones_out),
--- a/src/teaselrock/daemon/routed_metrics.py
+++ b/src/teaselrock/daemon/routed_metrics.py
@@ -45,6 +45,11 @@
             'Time since routes, servers and zones were known to be current.',
             stats.view_age,
         )
+        yield GaugeMetricFamily(
+            'teaselrock_routes_confirmed_age_seconds',
+            'Time since the routes were last known to be those in the store.',
+            stats.routes_confirmed_age,
+        )
         yield GaugeMetricFamily(
             'teaselrock_watching',
             '1 if the instance watches the store for its region.',
--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -46,6 +46,9 @@
 UNKNOWN_DEADLINE_S: Final = 60.0
 # Retry-After of a refusal that states none.
 RETRY_AFTER_S: Final = 0.3
+# Retry-After of a request that may match a route of a newer version. Callers
+# repeat it on a new connection, and another instance may have that version.
+OUTDATED_ROUTES_RETRY_AFTER_S: Final = 0.2
 # Reported as the refusal code of a request whose caller disconnected before
 # the response.
 CALLER_DISCONNECTED: Final = 'caller-gone'
@@ -179,12 +182,7 @@
             host=http_request.field('host') or '', target=http_request.target
         )
         if route is None:
-            return Error(
-                _refusal(
-                    RefusalCode.UNKNOWN_SERVICE,
-                    'no route matches this host and path',
-                )
-            )
+            return Error(self._unmatched_refusal())
         now = asyncio.get_running_loop().time()
         remaining = _time_left(route, caller_fields)
         return Ok(
@@ -206,6 +204,26 @@
             )
         )
 
+    def _unmatched_refusal(self) -> Refusal:
+        """Refusal of a request without a route; final if routes are current.
+
+        A newer version may have the route while they are not.
+        """
+        freshness = self._view.table_freshness
+        if freshness.is_current:
+            return _refusal(
+                RefusalCode.UNKNOWN_SERVICE,
+                'no route matches this host and path',
+            )
+        return Refusal(
+            RefusalCode.INSTANCE_NOT_READY,
+            Verdict.DID_NOT_RUN,
+            'no route matches this host and path in version '
+            f'{self._view.table.version} of the routes, which was last known '
+            f'to be current {freshness.age:.1f} s ago',
+            OUTDATED_ROUTES_RETRY_AFTER_S,
+        )
+
     def _refuse(
         self,
         http_request: CallerRequest,
--- a/tests/docs/test_operators_pages.py
+++ b/tests/docs/test_operators_pages.py
@@ -84,7 +84,18 @@
     """
     page = (ROOT / 'docs/operators/metrics.md').read_text('utf-8')
     stats = RoutedStats(
-        0.0, False, 0, {}, CheckCounts(), {}, {}, {}, {}, {}, PermitCounts()
+        0.0,
+        0.0,
+        False,
+        0,
+        {},
+        CheckCounts(),
+        {},
+        {},
+        {},
+        {},
+        {},
+        PermitCounts(),
     )
     actual = _metric_types(
         InstanceStatsCollector(read_stats=InstanceStats)
--- a/tests/platform/test_lost_store_routes.py
+++ b/tests/platform/test_lost_store_routes.py
@@ -8,6 +8,7 @@
 from gateway_world import routes_spec
 from gateway_world import Run
 from gateway_world import World
+import pytest
 
 # A version must be in force this long after the store acknowledged it.
 VERSION_IN_FORCE_S = 2.0
@@ -17,8 +18,13 @@
 ADDED = {**ROUTE, 'name': 'added', 'path_prefix': '/added/'}
 
 
-def test_added_route_is_not_denied_while_the_store_is_lost(run: Run) -> None:
-    """Guards against 404 for a route added just before the store was lost."""
+def test_added_route_is_not_denied_while_the_store_is_lost(
+    run: Run, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against 404 for a route added just before the store was lost.
+
+    The log tells why the request was refused.
+    """
 
     async def scenario(world: World) -> None:
         assert (await world.send_request('/added/1'))[0] == 404
@@ -43,3 +49,11 @@
         assert (await world.send_request('/other/1'))[0] == 404
 
     run(scenario)
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    (refused,) = (
+        line for line in lines if line.get('code') == 'instance-not-ready'
+    )
+    assert refused['event'] == 'request-refused'
+    assert 'last known to be current' in refused['detail']
+    rejected = [line for line in lines if line['event'] == 'request-rejected']
+    assert [line['status'] for line in rejected] == [404, 404]
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -1,6 +1,7 @@
 """A region of instances on an in-memory store, for tests of the registry."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -180,7 +181,7 @@
 
 
 class MemoryChannel:
-    """`RelayChannel` in memory; messages pass through the codec."""
+    """`RelayChannel` in memory; messages pass through the codec in order."""
 
     def __init__(self) -> None:
         self.inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
@@ -188,18 +189,21 @@
         self.is_closed = False
         self.is_cut = False
         self.dropped_types: tuple[type, ...] = ()
+        self.in_flight: deque[bytes] = deque()
 
     def send(self, message: NamedTuple) -> bool:
         if self.is_closed or self.peer_end is None:
             return False
         if not self.is_cut and not isinstance(message, self.dropped_types):
             loop = asyncio.get_running_loop()
-            frame = CODEC.encode(message)
-            loop.call_later(
-                LINK_DELAY_S, self.peer_end.inbox.put_nowait, frame
-            )
+            # Timers of the same moment fire in any order.
+            self.in_flight.append(CODEC.encode(message))
+            loop.call_later(LINK_DELAY_S, self._deliver, self.peer_end)
         return True
 
+    def _deliver(self, peer_end: 'MemoryChannel') -> None:
+        peer_end.inbox.put_nowait(self.in_flight.popleft())
+
     async def receive(self) -> Any:
         frame = await self.inbox.get()
         if frame is None:
@@ -280,6 +284,9 @@
                     wait=SHORT_POLL_WAIT_S
                     if kind == 'routes'
                     else POLL_WAIT_S,
+                    on_current=self.view.table_freshness.confirm_by_store
+                    if kind == 'routes'
+                    else lambda: None,
                 )
                 for kind, source, mirror in (
                     ('routes', region.source(name, 0), self.sync.tables),
