Test that an instance that is not ready denies nothing for good

A gateway with plans listens before it has a configuration, and the front end authenticates before the dispatcher checks readiness.

--- a/tests/transport/test_front_end.py
+++ b/tests/transport/test_front_end.py
@@ -126,12 +126,14 @@
     observer: RequestObserver = NoEvents(),
     memory: RequestMemory | None = None,
     max_body_bytes: int = 10,
+    is_ready: bool = True,
 ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    directory = FixedDirectory(document=_document(max_body_bytes), servers=())
+    if not is_ready:
+        directory.stop()
     front = FrontEnd(
         dispatcher=cast(Dispatcher, dispatcher),
-        directory=FixedDirectory(
-            document=_document(max_body_bytes), servers=()
-        ),
+        directory=directory,
         digest_key=b'test key',
         observer=observer,
         memory=memory,
@@ -205,6 +207,38 @@
     asyncio.run(_refuse(case))
 
 
+@pytest.mark.parametrize(
+    'sent',
+    [
+        head('GET /desk/a', 'Authorization: Bearer added\r\n'),
+        head('GET /added/a', AUTH),
+        head('POST /desk/a', AUTH),
+    ],
+    ids=['customer', 'service', 'method'],
+)
+def test_denial_waits_until_the_instance_is_ready(sent: str) -> None:
+    """Guards against 401, 404 or 400 by a missing or old configuration.
+
+    An instance that starts, or is isolated, may not know what was added.
+    """
+
+    async def main() -> None:
+        dispatcher = ScriptedDispatcher(BackendResponse(200, (), b'ok'))
+        async with (
+            asyncio.timeout(60),
+            _served(dispatcher, is_ready=False) as (reader, writer),
+        ):
+            writer.write(sent.encode())
+            response = await _read(reader)
+            code = json.loads(response.body)['code']
+            assert (response.status, code) == (503, 'instance-not-ready')
+            assert response.field('Request-Verdict') == ['did-not-run']
+            assert float(response.field('Retry-After')[0]) > 0
+            assert dispatcher.requests == []
+
+    asyncio.run(main())
+
+
 async def _relay(
     sent: str, backend_response: BackendResponse
 ) -> tuple[Response, Request]:
