Deny nothing for good while the instance is not ready

A gateway with plans listens before it has a configuration. Until then, and while it is isolated for more than 3 s, callers with a valid key got 401, 404 or 400 from an empty or old configuration, and do not repeat these: the front end looked up customer, service and methods before the dispatcher checked readiness. Requests that the configuration admits got 503 all along.

These three refusals become the dispatcher's 503 instance-not-ready while the directory is not ready. Refusals of malformed requests stay final, since they depend on no configuration; 403 and 413 are decided after the check.

--- a/src/teaselrock/coordination/dispatch.py
+++ b/src/teaselrock/coordination/dispatch.py
@@ -113,13 +113,7 @@
         Front ends call it before they read the body.
         """
         if not self._readiness.is_ready:
-            return Error(
-                _not_ready(
-                    'this instance accepts no new requests: it is starting, '
-                    'stopping, isolated or out of service',
-                    NOT_READY_RETRY_AFTER_S,
-                )
-            )
+            return Error(NOT_READY)
         if self._refuses_all or self._may_be_cut_off(request):
             return Error(
                 _not_ready(
@@ -219,3 +213,10 @@
         detail,
         retry_after=retry_after,
     )
+
+
+NOT_READY: Final = _not_ready(
+    'this instance accepts no new requests: it is starting, stopping, '
+    'isolated or out of service',
+    NOT_READY_RETRY_AFTER_S,
+)
--- a/src/teaselrock/transport/front_end.py
+++ b/src/teaselrock/transport/front_end.py
@@ -22,6 +22,7 @@
 from expression import Result
 
 from teaselrock.coordination.dispatch import Dispatcher
+from teaselrock.coordination.dispatch import NOT_READY
 from teaselrock.coordination.events import NoEvents
 from teaselrock.coordination.events import RequestObserver
 from teaselrock.coordination.ports import Directory
@@ -184,7 +185,7 @@
         customer = _authenticate(http_request, tables)
         if customer is None:
             return Error(
-                _refusal(
+                self._denial(
                     RefusalCode.UNKNOWN_CUSTOMER,
                     'the header Authorization holds no valid API key',
                 )
@@ -192,7 +193,7 @@
         service = tables.service(target=http_request.raw_path)
         if service is None:
             return Error(
-                _refusal(
+                self._denial(
                     RefusalCode.UNKNOWN_SERVICE, 'no service has this path'
                 )
             )
@@ -236,6 +237,15 @@
             )
         )
 
+    def _denial(self, code: RefusalCode, detail: str) -> Refusal:
+        """Refusal by the configuration, which is missing or old if not ready.
+
+        Callers repeat `NOT_READY` at another instance.
+        """
+        if not self._directory.is_ready:
+            return NOT_READY
+        return _refusal(code, detail)
+
     def _key_digest(
         self,
         http_request: web.BaseRequest,
@@ -252,7 +262,7 @@
         key = http_request.headers.get(fields.IDEMPOTENCY_KEY, '')
         if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS:
             return Error(
-                _refusal(
+                self._denial(
                     RefusalCode.KEY_REQUIRED,
                     f'{http_request.method} needs an {fields.IDEMPOTENCY_KEY} '
                     f'header of 1 to {MAX_IDEMPOTENCY_KEY_CHARS} characters',
