--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -268,6 +268,7 @@
                     self._heartbeats[entry.instance_id] = _ReceivedHeartbeat(
                         loop.time(), message.is_connected
                     )
+                    self._changes.confirm(message)
                 elif isinstance(message, ChangeMessage):
                     missing = self._changes.receive(
                         message, source=entry.instance_id
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -17,6 +17,7 @@
 from teaselrock.coordination.registry.messages import ServersChanged
 from teaselrock.coordination.registry.messages import TablesChanged
 from teaselrock.coordination.registry.messages import TablesEdited
+from teaselrock.coordination.registry.messages import WatchHeartbeat
 from teaselrock.coordination.registry.messages import ZonesChanged
 from teaselrock.coordination.registry.mirror import Change
 from teaselrock.coordination.registry.mirror import MAX_KEPT_CHANGES
@@ -116,6 +117,14 @@
             applied = self._sync.zones_out.apply(_decode(message, source))
         return None if applied else self.positions
 
+    def confirm(self, heartbeat: WatchHeartbeat) -> None:
+        """Note that a watching instance has no newer routing table."""
+        if (
+            heartbeat.is_connected
+            and heartbeat.positions.tables <= self._sync.tables.position
+        ):
+            self._sync.table_freshness.confirm_by_heartbeat()
+
     def _decode_edits(
         self, message: TablesEdited, source: str
     ) -> Change[RoutingTable] | None:
