--- a/src/teaselrock/coordination/registry/sync.py
+++ b/src/teaselrock/coordination/registry/sync.py
@@ -15,11 +15,13 @@
 from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import ObjectEntry
 from teaselrock.coordination.registry.delayed_actions import DelayedActions
+from teaselrock.coordination.registry.freshness import TableFreshness
 from teaselrock.coordination.registry.mirror import Change
 from teaselrock.coordination.registry.mirror import Mirror
 from teaselrock.coordination.registry.precedence import newer_server
 from teaselrock.coordination.registry.precedence import newer_table
 from teaselrock.coordination.registry.view import InstallationView
+from teaselrock.coordination.registry.view import TableOrigin
 from teaselrock.coordination.registry.watch import StoreConnectivity
 from teaselrock.state import BackendServer
 from teaselrock.state.routes import RoutingTable
@@ -80,6 +82,11 @@
         """Mirror of the routing table."""
         return self._tables
 
+    @property
+    def table_freshness(self) -> TableFreshness:
+        """Whether the routing table is known to be that in the store."""
+        return self._view.table_freshness
+
     @property
     def servers(self) -> Mirror[BackendServer]:
         """Mirror of the servers' registrations."""
@@ -124,10 +131,16 @@
         self._observe_era(change)
         for entry in change.listing.entries:
             if entry.value is not None and self._view.put_table_in_force(
-                entry.value
+                entry.value,
+                origin=TableOrigin(
+                    change.source, asyncio.get_running_loop().time()
+                ),
             ):
                 self._events.emit(
-                    event=Event.ROUTES_IN_FORCE, version=entry.value.version
+                    event=Event.ROUTES_IN_FORCE,
+                    version=entry.value.version,
+                    routes=len(entry.value.routes),
+                    source=change.source,
                 )
 
     def _apply_servers(self, change: Change[BackendServer]) -> None:
--- a/src/teaselrock/daemon/platform_gateway.py
+++ b/src/teaselrock/daemon/platform_gateway.py
@@ -20,6 +20,7 @@
 from teaselrock.coordination.events import Event
 from teaselrock.coordination.ports import InstanceRegistration
 from teaselrock.coordination.registry import InstallationView
+from teaselrock.coordination.registry import RELAY_PROTOCOL
 from teaselrock.coordination.registry import RouteShares
 from teaselrock.coordination.route_attempts import RetryBudgetLimits
 from teaselrock.coordination.routed_instance import RoutedInstance
@@ -30,6 +31,7 @@
 from teaselrock.daemon.caller_limit_log import CallerLimitLog
 from teaselrock.daemon.logs import EventLog
 from teaselrock.daemon.metrics import GatewayMetrics
+from teaselrock.daemon.rejection_log import RejectionLog
 from teaselrock.daemon.routed_metrics import RoutedCollector
 from teaselrock.platform import documents
 from teaselrock.platform import headers
@@ -152,6 +154,9 @@
                 shares=RouteShares(rng=random.Random()),
                 dialect=headers.PlatformCallerDialect(),
                 observer=self._metrics,
+                rejection_observer=RejectionLog(
+                    events=self._events, metrics=self._metrics
+                ),
             ),
             memory=request_memory,
             unread_responses=unread_responses,
@@ -297,6 +302,8 @@
                     settings.region,
                     settings.zone,
                     f'{settings.peer_host}:{settings.peer_ports[0]}',
+                    settings.limits.link_mbps,
+                    RELAY_PROTOCOL,
                 ),
                 regions=frozenset(zone_regions.values()),
                 is_first_start=settings.is_first_start,
--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -32,6 +32,11 @@
 from teaselrock.state.routes import CallerLimits
 from teaselrock.state.routes import Route
 from teaselrock.transport.caller_connection import CallerResponse
+from teaselrock.transport.rejections import first_segment
+from teaselrock.transport.rejections import MAX_LOGGED_CHARS
+from teaselrock.transport.rejections import NoRejections
+from teaselrock.transport.rejections import Rejection
+from teaselrock.transport.rejections import RejectionObserver
 from teaselrock.transport.request_parser import CallerRequest
 from teaselrock.transport.request_parser import RequestError
 
@@ -41,6 +46,9 @@
 UNKNOWN_DEADLINE_S: Final = 60.0
 # Retry-After of a refusal that states none.
 RETRY_AFTER_S: Final = 0.3
+# Retry-After of a request that may match a route of a newer version. Callers
+# repeat it on a new connection, and another instance may have that version.
+OUTDATED_ROUTES_RETRY_AFTER_S: Final = 0.2
 # Reported as the refusal code of a request whose caller disconnected before
 # the response.
 CALLER_DISCONNECTED: Final = 'caller-gone'
@@ -90,12 +98,14 @@
         shares: RouteShares,
         dialect: CallerDialect,
         observer: RequestObserver = NoEvents(),
+        rejection_observer: RejectionObserver = NoRejections(),
     ) -> None:
         self._dispatcher = dispatcher
         self._view = view
         self._shares = shares
         self._dialect = dialect
         self._observer = observer
+        self._rejection_observer = rejection_observer
 
     @property
     def limits(self) -> CallerLimits:
@@ -130,10 +140,7 @@
             if parsed.is_ok():
                 result = await self._dispatcher.dispatch(request=parsed.ok)
             else:
-                result = self._dispatcher.refuse(
-                    request=_unrouted_request(request, caller_fields),
-                    refusal=parsed.error,
-                )
+                result = self._refuse(request, caller_fields, parsed.error)
             verdict, code = _outcome(result)
         finally:
             self._observer.on_request(
@@ -152,6 +159,8 @@
 
     def error_response(self, error: RequestError) -> CallerResponse:
         """Response to a request that could not be parsed."""
+        if error.status != _DID_NOT_RUN_STATUS:
+            self._report_rejection(error.status, str(error))
         headers = [('Content-Type', 'text/plain; charset=utf-8')]
         if error.status == _DID_NOT_RUN_STATUS:
             headers.append(('Retry-After', f'{RETRY_AFTER_S:.2f}'))
@@ -173,12 +182,7 @@
             host=http_request.field('host') or '', target=http_request.target
         )
         if route is None:
-            return Error(
-                _refusal(
-                    RefusalCode.UNKNOWN_SERVICE,
-                    'no route matches this host and path',
-                )
-            )
+            return Error(self._unmatched_refusal())
         now = asyncio.get_running_loop().time()
         remaining = _time_left(route, caller_fields)
         return Ok(
@@ -200,6 +204,73 @@
             )
         )
 
+    def _unmatched_refusal(self) -> Refusal:
+        """Refusal of a request without a route; final if routes are current.
+
+        A newer version may have the route while they are not.
+        """
+        freshness = self._view.table_freshness
+        if freshness.is_current:
+            return _refusal(
+                RefusalCode.UNKNOWN_SERVICE,
+                'no route matches this host and path',
+            )
+        return Refusal(
+            RefusalCode.INSTANCE_NOT_READY,
+            Verdict.DID_NOT_RUN,
+            'no route matches this host and path in version '
+            f'{self._view.table.version} of the routes, which was last known '
+            f'to be current {freshness.age:.1f} s ago',
+            OUTDATED_ROUTES_RETRY_AFTER_S,
+        )
+
+    def _refuse(
+        self,
+        http_request: CallerRequest,
+        caller_fields: CallerFields,
+        refusal: Refusal,
+    ) -> Result[BackendResponse, Refusal]:
+        """Report a request that is refused before it has a route."""
+        status = _http_status(refusal)
+        if status != _DID_NOT_RUN_STATUS:
+            self._report_rejection(
+                status,
+                refusal.detail,
+                request=http_request,
+                request_id=caller_fields.request_id,
+            )
+        return self._dispatcher.refuse(
+            request=_unrouted_request(http_request, caller_fields),
+            refusal=refusal,
+        )
+
+    def _report_rejection(
+        self,
+        status: int,
+        detail: str,
+        *,
+        request: CallerRequest | None = None,
+        request_id: str = '',
+    ) -> None:
+        host = target = ''
+        if request is not None:
+            host, target = request.field('host') or '', request.target
+        origin = self._view.table_origin
+        now = asyncio.get_running_loop().time()
+        self._rejection_observer.on_rejection(
+            rejection=Rejection(
+                status=status,
+                detail=detail,
+                request_id=request_id,
+                host=host[:MAX_LOGGED_CHARS],
+                prefix=first_segment(target),
+                host_routes=self._view.index.count_of_host(host),
+                version=self._view.table.version,
+                table_age=now - origin.in_force_since,
+                source=origin.source,
+            )
+        )
+
     def _refusal_response(
         self, refusal: Refusal, request_id: str
     ) -> CallerResponse:
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -1,10 +1,13 @@
 """A region of instances on an in-memory store, for tests of the registry."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
+from types import MappingProxyType
 from typing import Any
 from typing import NamedTuple
 
@@ -23,11 +26,14 @@
 from teaselrock.coordination.registry import InstallationView
 from teaselrock.coordination.registry import KindWatch
 from teaselrock.coordination.registry import RegionRelay
+from teaselrock.coordination.registry import RELAY_PROTOCOL
 from teaselrock.coordination.registry import StoreConnectivity
 from teaselrock.coordination.registry import StoreWatch
 from teaselrock.coordination.registry.watch import POLL_WAIT_S
 from teaselrock.coordination.registry.watch import SHORT_POLL_WAIT_S
 from teaselrock.protocol import MessageCodec
+from teaselrock.protocol.relay_messages import COMPRESSED_RELAY_KINDS
+from teaselrock.protocol.relay_messages import MAX_RELAY_BYTES
 from teaselrock.protocol.relay_messages import RELAY_KINDS
 from teaselrock.state import AvailabilityZone
 from teaselrock.state import BackendServer
@@ -39,7 +45,11 @@
 ZONE = AvailabilityZone('east', 'east-a')
 LINK_DELAY_S = 0.001
 STORE_CALL_S = 0.004
-CODEC = MessageCodec(kinds=RELAY_KINDS)
+CODEC = MessageCodec(
+    kinds=RELAY_KINDS,
+    max_bytes=MAX_RELAY_BYTES,
+    compressed_kinds=COMPRESSED_RELAY_KINDS,
+)
 
 
 def backend_server(
@@ -180,25 +190,39 @@
 
 
 class MemoryChannel:
-    """`RelayChannel` in memory; messages pass through the codec."""
+    """`RelayChannel` in memory; messages pass through the codec in order."""
 
-    def __init__(self) -> None:
+    def __init__(self, link: 'MemoryRelayLink') -> None:
+        self.link = link
+        self.sent_until = 0.0
         self.inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.peer_end: MemoryChannel | None = None
         self.is_closed = False
         self.is_cut = False
+        self.dropped_types: tuple[type, ...] = ()
+        self.in_flight: deque[bytes] = deque()
 
     def send(self, message: NamedTuple) -> bool:
         if self.is_closed or self.peer_end is None:
             return False
-        if not self.is_cut:
+        if not self.is_cut and not isinstance(message, self.dropped_types):
             loop = asyncio.get_running_loop()
             frame = CODEC.encode(message)
-            loop.call_later(
-                LINK_DELAY_S, self.peer_end.inbox.put_nowait, frame
+            self.sent_until = self.link.transmit(len(frame))
+            # Timers of the same moment fire in any order.
+            self.in_flight.append(frame)
+            loop.call_at(
+                self.sent_until + LINK_DELAY_S, self._deliver, self.peer_end
             )
         return True
 
+    def _deliver(self, peer_end: 'MemoryChannel') -> None:
+        peer_end.inbox.put_nowait(self.in_flight.popleft())
+
+    async def drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self.sent_until - loop.time()))
+
     async def receive(self) -> Any:
         frame = await self.inbox.get()
         if frame is None:
@@ -219,11 +243,18 @@
 
 
 class MemoryRelayLink:
-    """`RelayLink` of one instance in memory."""
+    """`RelayLink` of one instance in memory.
+
+    All its channels share `bytes_per_s` in the order of their messages.
+    """
+
+    bytes_per_s = float('inf')
 
     def __init__(self, region: 'Region', address: str) -> None:
         self.region = region
         self.address = address
+        self.idle_at = 0.0
+        self.sent_bytes = 0
         self.channels: list[MemoryChannel] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -233,14 +264,21 @@
         if listener is None:
             return None
         self.region.connections.append((self.address, address))
-        here, there = MemoryChannel(), MemoryChannel()
+        link, on_channel = listener
+        here, there = MemoryChannel(self), MemoryChannel(link)
         here.peer_end, there.peer_end = there, here
         self.channels.append(here)
-        link, on_channel = listener
         link.channels.append(there)
         link.tasks.append(asyncio.ensure_future(on_channel(there)))
         return here
 
+    def transmit(self, size: int) -> float:
+        """Time on the loop's clock at which a message has been sent."""
+        self.sent_bytes += size
+        now = asyncio.get_running_loop().time()
+        self.idle_at = max(self.idle_at, now) + size / self.bytes_per_s
+        return self.idle_at
+
     async def serve(self, *, on_channel: OnChannel) -> None:
         self.region.listeners[self.address] = (self, on_channel)
 
@@ -256,7 +294,14 @@
     """View, store watch and relay of one instance."""
 
     def __init__(self, region: 'Region', name: str) -> None:
-        self.registration = InstanceRegistration(name, 'east', 'east-a', name)
+        self.registration = InstanceRegistration(
+            name,
+            'east',
+            'east-a',
+            name,
+            region.link_mbps.get(name, 0.0),
+            RELAY_PROTOCOL,
+        )
         self.events = RecordedEvents()
         self.view = InstallationView()
         self.removed_server_ids: list[str] = []
@@ -279,6 +324,9 @@
                     wait=SHORT_POLL_WAIT_S
                     if kind == 'routes'
                     else POLL_WAIT_S,
+                    on_current=self.view.table_freshness.confirm_by_store
+                    if kind == 'routes'
+                    else lambda: None,
                 )
                 for kind, source, mirror in (
                     ('routes', region.source(name, 0), self.sync.tables),
@@ -339,9 +387,15 @@
 
 
 class Region:
-    """Instances of one region, and the three object sources of the store."""
+    """Instances of one region, and the three object sources of the store.
 
-    def __init__(self, count: int) -> None:
+    `link_mbps` holds the speeds of links that are known, by instance.
+    """
+
+    def __init__(
+        self, count: int, link_mbps: Mapping[str, float] = MappingProxyType({})
+    ) -> None:
+        self.link_mbps = link_mbps
         self.listeners: dict[str, tuple[MemoryRelayLink, OnChannel]] = {}
         self.connections: list[tuple[str, str]] = []
         self.sources = (
