Give 413 and 431 only by limits that are known to be current

A caller whose body or head exceeds a limit of the routing table got 413 or 431, which are final, also from an instance whose table is behind or that has lost the store. A newer version may have raised the limit. Class: a final refusal from a view that is known to be behind, as with 404.

Such a request now gets 503 with Retry-After while the routes are not known to be current, and its line in the log says so.

tests/platform/test_lost_store_routes.py: both cases of the new test failed before with 413 and 431.

--- a/src/teaselrock/transport/routed_front_end.py
+++ b/src/teaselrock/transport/routed_front_end.py
@@ -56,6 +56,15 @@
 # that it may have run.
 _DID_NOT_RUN_STATUS: Final = 503
 _MAY_HAVE_RUN_STATUS: Final = {RefusalCode.DEADLINE_EXCEEDED: 504}
+# A body or head exceeds a limit of the routing table.
+_LIMIT_STATUSES: Final = frozenset({413, 431})
+# Stands for a request that could not be parsed, in the report of its refusal.
+_UNPARSED_REQUEST: Final = Request(
+    customer='',
+    service='',
+    content=RequestContent('', '', (), b''),
+    deadline=0.0,
+)
 
 
 class CallerFields(NamedTuple):
@@ -158,7 +167,18 @@
         return self._refusal_response(result.error, caller_fields.request_id)
 
     def error_response(self, error: RequestError) -> CallerResponse:
-        """Response to a request that could not be parsed."""
+        """Response to a request that could not be parsed.
+
+        A newer version of the routes may have higher limits, so exceeding
+        them is final only while the routes are known to be current.
+        """
+        if (
+            error.status in _LIMIT_STATUSES
+            and not self._view.table_freshness.is_current
+        ):
+            refusal = self._outdated_refusal(str(error))
+            self._dispatcher.refuse(request=_UNPARSED_REQUEST, refusal=refusal)
+            return self._refusal_response(refusal, request_id='')
         if error.status != _DID_NOT_RUN_STATUS:
             self._report_rejection(error.status, str(error))
         headers = [('Content-Type', 'text/plain; charset=utf-8')]
@@ -209,18 +229,19 @@
 
         A newer version may have the route while they are not.
         """
-        freshness = self._view.table_freshness
-        if freshness.is_current:
-            return _refusal(
-                RefusalCode.UNKNOWN_SERVICE,
-                'no route matches this host and path',
-            )
+        detail = 'no route matches this host and path'
+        if self._view.table_freshness.is_current:
+            return _refusal(RefusalCode.UNKNOWN_SERVICE, detail)
+        return self._outdated_refusal(detail)
+
+    def _outdated_refusal(self, detail: str) -> Refusal:
+        """Refusal for a reason that a newer version of the routes may end."""
         return Refusal(
             RefusalCode.INSTANCE_NOT_READY,
             Verdict.DID_NOT_RUN,
-            'no route matches this host and path in version '
-            f'{self._view.table.version} of the routes, which was last known '
-            f'to be current {freshness.age:.1f} s ago',
+            f'{detail} in version {self._view.table.version} of the routes, '
+            'which was last known to be current '
+            f'{self._view.table_freshness.age:.1f} s ago',
             OUTDATED_ROUTES_RETRY_AFTER_S,
         )
 
--- a/tests/platform/test_lost_store_routes.py
+++ b/tests/platform/test_lost_store_routes.py
@@ -57,3 +57,32 @@
     assert 'last known to be current' in refused['detail']
     rejected = [line for line in lines if line['event'] == 'request-rejected']
     assert [line['status'] for line in rejected] == [404, 404]
+
+
+@pytest.mark.parametrize(
+    ('fields', 'status'),
+    [('Content-Length: 3000000', 413), (f'X: {"x" * 20_000}', 431)],
+)
+def test_limits_of_old_routes_are_not_final(
+    run: Run, fields: str, status: int
+) -> None:
+    """Guards against 413 and 431 by limits that a newer version may raise."""
+
+    async def send(world: World) -> bytes:
+        reader, writer = await world.open_connection()
+        writer.write(f'POST /b/1 HTTP/1.1\r\n{fields}\r\n\r\n'.encode())
+        response = await reader.read(-1)
+        writer.close()
+        return response
+
+    async def scenario(world: World) -> None:
+        assert (await send(world)).startswith(f'HTTP/1.1 {status} '.encode())
+        world.store.drops_connections = True
+        for writer in tuple(world.store.http.writers):
+            writer.close()
+        await asyncio.sleep(VERSION_IN_FORCE_S)
+        response = await send(world)
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert b'Retry-After: ' in response
+
+    run(scenario)
