Report errors of the task that sends large changes to a follower

An error in this task ended it without a sign, and the follower got no routes from this instance any more: large_change stayed set. It is now reported as relay-failed and the connection is closed, so that the follower connects again and asks for what it lacks.

--- a/src/teaselrock/coordination/registry/followers.py
+++ b/src/teaselrock/coordination/registry/followers.py
@@ -10,6 +10,8 @@
 import contextlib
 from typing import Final
 
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.events import Events
 from teaselrock.coordination.ports import RelayChannel
 from teaselrock.coordination.registry.messages import FollowRequest
 from teaselrock.coordination.registry.messages import TablesChanged
@@ -55,7 +57,9 @@
         changes: RelayedChanges,
         rank_of: Callable[[str], int],
         protocol_of: Callable[[str], int],
+        events: Events,
     ) -> None:
+        self._events = events
         self._changes = changes
         self._rank_of = rank_of
         self._protocol_of = protocol_of
@@ -110,14 +114,23 @@
             self._send_tables(follower, messages)
 
     async def _send_large_changes(self, follower: _Follower) -> None:
-        while True:
-            await follower.large_change.wait()
-            async with self._large_sends:
-                self._send_tables(follower, self._table_messages(follower))
-                follower.large_change.clear()
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(LARGE_SEND_TIMEOUT_S):
-                        await follower.channel.drain()
+        try:
+            while True:
+                await follower.large_change.wait()
+                async with self._large_sends:
+                    await self._send_large_change(follower)
+        except Exception as error:
+            # Without this task the follower would miss the routes. It connects
+            # again and asks for what it lacks.
+            self._events.emit(event=Event.RELAY_FAILED, detail=repr(error))
+            follower.channel.close()
+
+    async def _send_large_change(self, follower: _Follower) -> None:
+        self._send_tables(follower, self._table_messages(follower))
+        follower.large_change.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LARGE_SEND_TIMEOUT_S):
+                await follower.channel.drain()
 
     def _table_messages(self, follower: _Follower) -> list[TableMessage]:
         return self._changes.tables_since(
--- a/src/teaselrock/coordination/registry/relay.py
+++ b/src/teaselrock/coordination/registry/relay.py
@@ -110,6 +110,7 @@
             # Instances that are not registered yet come last.
             rank_of=lambda name: self._ranks.get(name, len(self._ranks)),
             protocol_of=self._protocol_of,
+            events=events,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/tests/registry/test_large_tables.py
+++ b/tests/registry/test_large_tables.py
@@ -4,11 +4,14 @@
 import random
 import string
 from typing import Final
+from typing import NamedTuple
 
 from registry_world import Region
 from registry_world import routing_table
 
 from teaselrock.coordination import rendezvous
+from teaselrock.coordination.events import Event
+from teaselrock.coordination.registry.messages import TablesEdited
 from teaselrock.standins.clock import run_paused
 from teaselrock.state.routes import Route
 from teaselrock.state.routes import RoutingTable
@@ -22,6 +25,8 @@
 IN_FORCE_S: Final = 2.0
 # An instance that starts must have caught up within this time.
 CATCH_UP_S: Final = 4.0
+# A follower whose connection has ended connects again after 5 s.
+RECONNECTED_S: Final = 6.0
 
 
 class Tables:
@@ -179,6 +184,31 @@
     run_paused(main())
 
 
+def test_failed_send_does_not_leave_a_follower_behind() -> None:
+    """Guards against a follower that gets no more routes after an error."""
+
+    async def main() -> None:
+        region = await start_region(3)
+        (watcher,) = region.watchers()
+        channel = watcher.link.channels[-1]
+        send = channel.send
+
+        def fail_once(message: NamedTuple) -> bool:
+            if not isinstance(message, TablesEdited):
+                return send(message)
+            channel.send = send  # type: ignore[method-assign]
+            raise ValueError('cannot be encoded')
+
+        channel.send = fail_once  # type: ignore[method-assign]
+        table = Tables().add_routes(ADDED_ROUTES)
+        region.sources[0].put('main', table)
+        await asyncio.sleep(RECONNECTED_S)
+        assert Event.RELAY_FAILED in watcher.events.emitted
+        assert all(member.view.table == table for member in region.members)
+
+    run_paused(main())
+
+
 def test_fastest_links_watch() -> None:
     """Guards against a slow link that sends all changes of a region.
 
