--- a/tests/registry/test_large_tables.py
+++ b/tests/registry/test_large_tables.py
@@ -11,6 +11,7 @@
 
 from teaselrock.coordination import rendezvous
 from teaselrock.coordination.events import Event
+from teaselrock.coordination.registry.followers import MAX_LARGE_SENDS
 from teaselrock.coordination.registry.messages import TablesEdited
 from teaselrock.standins.clock import run_paused
 from teaselrock.state.routes import Route
@@ -205,6 +206,42 @@
     run_paused(main())
 
 
+def test_silent_followers_do_not_hold_up_the_others() -> None:
+    """Guards against a large change that waits for frozen instances.
+
+    A zone of the region, every third instance, acknowledges nothing.
+    """
+
+    async def main() -> None:
+        region = await start_region()
+        (watcher,) = region.watchers()
+        others = [m for m in region.members if m is not watcher]
+        for member in others[::3]:
+            for channel in member.link.channels:
+                channel.is_cut = True
+        table = Tables().add_routes(ADDED_ROUTES)
+        region.sources[0].put('main', table)
+        await asyncio.sleep(IN_FORCE_S)
+        assert all(member.view.table == table for member in others)
+
+    run_paused(main())
+
+
+def test_instances_that_take_over_get_a_large_table_first() -> None:
+    """Guards against a takeover by an instance without the last version."""
+
+    async def main() -> None:
+        region = await start_region()
+        by_rank = sorted(region.members, key=lambda member: member.relay.rank)
+        table = Tables().add_routes(ADDED_ROUTES)
+        region.sources[0].put('main', table)
+        while by_rank[MAX_LARGE_SENDS].view.table != table:
+            await asyncio.sleep(0.01)
+        assert by_rank[-1].view.table != table
+
+    run_paused(main())
+
+
 def test_failed_send_does_not_leave_a_follower_behind() -> None:
     """Guards against a follower that gets no more routes after an error."""
 
