tests: a large value on a slow link, which the other store client cannot read

The store client of the own interface gives up a response that is still arriving after 1 s, as that of the platform did.

--- a/tests/transport/test_store_client.py
+++ b/tests/transport/test_store_client.py
@@ -9,6 +9,7 @@
 import pytest
 
 from teaselrock.coordination.ports import StoreErrorKind
+from teaselrock.transport.store import CALL_TIMEOUT_S
 from teaselrock.transport.store import HttpPlatformList
 from teaselrock.transport.store import HttpStore
 from teaselrock.transport.store import StoreHttpClient
@@ -260,3 +261,39 @@
     assert result.ok == [
         ('s1', 'desk', ('east', 'a'), '127.0.0.1:1', 4, True, 0)
     ]
+
+
+def test_response_that_keeps_arriving_is_read() -> None:
+    """Guards against a large value that no call can read on a slow link.
+
+    It takes longer than `CALL_TIMEOUT_S`, without a long pause.
+    """
+    part, count = b'x' * 50_000, 20
+
+    async def main() -> Any:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            length = len(part) * count
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nETag: "7"\r\n'
+                b'Content-Length: %d\r\n\r\n' % length
+            )
+            for _ in range(count):
+                await asyncio.sleep(1.5 * CALL_TIMEOUT_S / count)
+                writer.write(part)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = StoreHttpClient(url=f'http://127.0.0.1:{port}')
+        try:
+            return await HttpStore(client=client).get(key='k')
+        finally:
+            client.close()
+            server.close()
+
+    result = asyncio.run(main())
+    assert result.is_ok(), result.error
+    assert result.ok.value == part * count
