Name and split what a first reader of the relay stumbled over

No change of behaviour: servers_and_zones_since, one method each for small changes and for scheduling large ones, and a plainer first_segment.

--- a/src/teaselrock/coordination/registry/followers.py
+++ b/src/teaselrock/coordination/registry/followers.py
@@ -106,7 +106,8 @@
             key=lambda follower: self._rank_of(follower.instance_id),
         ):
             if follower.positions != heartbeat.positions:
-                self._send_changes(follower)
+                self._send_servers_and_zones(follower)
+                self._send_or_schedule_tables(follower)
             since_heartbeat = now - follower.heartbeat_at
             if since_heartbeat >= HEARTBEAT_INTERVAL_S - HEARTBEAT_TOLERANCE_S:
                 follower.heartbeat_at = now
@@ -114,12 +115,20 @@
                 if follower.protocol > 0:
                     follower.channel.send(self._changes.confirmed)
 
-    def _send_changes(self, follower: _Follower) -> None:
-        for message in self._changes.objects_since(follower.positions):
+    def _send_servers_and_zones(self, follower: _Follower) -> None:
+        for message in self._changes.servers_and_zones_since(
+            follower.positions
+        ):
             follower.channel.send(message)
         follower.positions = self._changes.positions._replace(
             tables=follower.positions.tables
         )
+
+    def _send_or_schedule_tables(self, follower: _Follower) -> None:
+        """Send small changes of the routing table at once.
+
+        Those that come while a large one waits are sent after it.
+        """
         if follower.large_change.is_set():
             return
         messages = self._table_messages(follower)
--- a/src/teaselrock/coordination/registry/relayed_changes.py
+++ b/src/teaselrock/coordination/registry/relayed_changes.py
@@ -35,7 +35,7 @@
 MessageT = TypeVar('MessageT', bound=NamedTuple)
 
 TableMessage = TablesChanged | TablesEdited
-# A message with so many routes takes about a packet.
+# A message with so many routes takes one or two packets.
 SMALL_CHANGE_ROUTES: Final = 32
 
 ChangeMessage = TableMessage | ServersChanged | ZonesChanged
@@ -59,7 +59,9 @@
             self._sync.zones_out.position,
         )
 
-    def objects_since(self, positions: MirrorPositions) -> list[NamedTuple]:
+    def servers_and_zones_since(
+        self, positions: MirrorPositions
+    ) -> list[NamedTuple]:
         """Changes of servers and zones after `positions`, as messages."""
         messages: list[NamedTuple] = [
             _message(change, ServersChanged)
--- a/src/teaselrock/transport/rejections.py
+++ b/src/teaselrock/transport/rejections.py
@@ -50,6 +50,5 @@
 
 def first_segment(target: str) -> str:
     """First segment of a target's path with its slashes, or what fits."""
-    path = target.partition('?')[0]
-    end = path.find('/', 1)
-    return path[: end + 1 or None][:MAX_LOGGED_CHARS]
+    segment, slash, _ = target.partition('?')[0][1:].partition('/')
+    return f'{target[:1]}{segment}{slash}'[:MAX_LOGGED_CHARS]
