--- a/src/teaselrock/transport/rejections.py
+++ b/src/teaselrock/transport/rejections.py
@@ -1,7 +1,7 @@
 """Rejected requests of callers, for logs and metrics.
 
-A rejection is a 4xx response of the gateway itself, which callers take as
-final, such as 404 for a request that no route matches.
+A rejection is a 4xx response of the gateway itself, such as 404 for a request
+that no route matches. Callers take all but 408 as final.
 """
 
 from typing import Final
--- a/tests/registry/registry_world.py
+++ b/tests/registry/registry_world.py
@@ -232,7 +232,7 @@
         decoded = self.link.codec.decode(frame)
         if decoded.is_error():
             self.link.invalid_frames.append(decoded.error.detail)
-            return None
+        assert decoded.is_ok(), decoded
         return decoded.ok
 
     def close(self) -> None:
